Hold a body back on a rested connection until a stale one had time to reset

Nothing shows on the socket before the write.

Now the head goes first and the body follows 2 ms later on a connection that has rested.

About half of the stale resets come for the head; the other half come only for the whole request and remain.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -3,28 +3,36 @@
 use crate::inbound::{Shared, HEAD_MOST};
 use crate::sockets::Sockets;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
 /// Bodies hold at most this much, both ways.
 pub const BODY_MOST: usize = 64 << 10;
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
 /// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
 const IDLE_MARGIN: Duration = Duration::from_millis(250);
+/// How long a body is held back on a connection that has rested. Some go stale unseen: only what is written to them
+/// brings the reset, several round trips of a data centre sooner than this. While a request's last byte is not
+/// written it has surely not run, so that it can go out on another connection.
+const TRIAL: Duration = Duration::from_millis(2);
 /// How long a connection may take to be ready for its next request once an answer has been read whole.
 const SETTLE: Duration = Duration::from_millis(5);
 
@@ -60,7 +68,7 @@
 
 /// One open connection; closed when dropped.
 struct Conn {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Tried>,
     socket: Shared,
     /// The upstream's generation that it was made for.
     generation: u64,
@@ -158,6 +166,8 @@
     pub dial_timeout: Duration,
     /// Connections are closed when idle for this long.
     pub idle: Duration,
+    /// How long a connection that has rested is tried with a request's head before the body follows.
+    trial: Duration,
     /// Sockets that may still be opened.
     pub sockets: Sockets,
 }
@@ -166,7 +176,7 @@
     /// `idle_close` is when upstreams close idle connections.
     pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets) -> Self {
         let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
-        Transport { dial_timeout, idle, sockets }
+        Transport { dial_timeout, idle, trial: TRIAL, sockets }
     }
 
     async fn dial(&self, to: &Upstream, until: Instant) -> Result<Conn, Ending> {
@@ -196,10 +206,6 @@
         out: Rc<Outgoing>,
         until: Instant,
     ) -> (Ending, Option<Answer>) {
-        let mut request = match out.request() {
-            Ok(request) => request,
-            Err(_) => return (Ending::Moot, None),
-        };
         let (mut conn, answer) = loop {
             let (mut conn, reused) = match to.take(self.idle) {
                 Some(conn) => (conn, true),
@@ -214,19 +220,24 @@
             if to.closed(now) || now >= until || out.over.get() {
                 return (Ending::Moot, None);
             }
+            let (body, given) = Tried::new(out.body.clone(), reused.then_some(self.trial));
+            let Ok(mut request) = out.request(body) else { return (Ending::Moot, None) };
             let left = (until - now).as_micros();
             if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
                 request.headers_mut().insert(DEADLINE, left);
             }
             match conn.sender.try_send_request(request).await {
                 Ok(answer) => break (conn, answer),
-                // Handed back whole: nothing was written. A connection that rested and had been closed meanwhile
-                // says nothing about the upstream, so the next one is tried; each is tried once.
-                Err(mut e) => match e.take_message() {
-                    Some(back) if reused => request = back,
-                    Some(_) => return (Ending::ConnectFailed, None),
-                    None => return (Ending::Reset, None),
-                },
+                Err(mut e) => {
+                    // The last byte was never written. A connection that rested and had been closed meanwhile says
+                    // nothing about the upstream, so the next one is tried; each is tried once.
+                    let unwritten = !given.get() || e.take_message().is_some();
+                    match (unwritten, reused) {
+                        (true, true) => {}
+                        (true, false) => return (Ending::ConnectFailed, None),
+                        (false, _) => return (Ending::Reset, None),
+                    }
+                }
             }
         };
         if !has_an_end(&answer) || answer.body().size_hint().lower() > BODY_MOST as u64 {
@@ -256,6 +267,47 @@
     }
 }
 
+/// A request's body that is handed over to be written only once its connection has been tried with the head.
+struct Tried {
+    body: Option<Bytes>,
+    /// Until when the connection is on trial.
+    trial: Option<Pin<Box<Sleep>>>,
+    given: Rc<Cell<bool>>,
+}
+
+impl Tried {
+    /// And whether the whole request has been handed over; without a body that is so with its head.
+    fn new(body: Bytes, trial: Option<Duration>) -> (Tried, Rc<Cell<bool>>) {
+        let given = Rc::new(Cell::new(body.is_empty()));
+        let body = Some(body).filter(|b| !b.is_empty());
+        (Tried { body, trial: trial.map(|t| Box::pin(sleep(t))), given: given.clone() }, given)
+    }
+}
+
+impl Body for Tried {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if let Some(trial) = &mut self.trial {
+            ready!(trial.as_mut().poll(cx));
+        }
+        self.given.set(true);
+        Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.body.as_ref().map_or(0, |b| b.len() as u64))
+    }
+}
+
 /// Whether a connection was not made for want of something on this machine.
 fn short(e: &io::Error) -> bool {
     // ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
@@ -285,11 +337,9 @@
 }
 
 impl Outgoing {
-    fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-        let mut request = Request::builder()
-            .method(self.method.clone())
-            .uri(self.target.clone())
-            .body(Full::new(self.body.clone()))?;
+    fn request(&self, body: Tried) -> Result<Request<Tried>, hyper::http::Error> {
+        let mut request =
+            Request::builder().method(self.method.clone()).uri(self.target.clone()).body(body)?;
         *request.headers_mut() = self.headers.clone();
         Ok(request)
     }
@@ -344,6 +394,58 @@
         });
     }
 
+    /// Guards against losing a request that must not run twice to a connection that went stale while it rested: the
+    /// reset comes for its head, and it has surely not run. The trial is too long to pass by itself.
+    #[test]
+    fn a_connection_that_went_stale_costs_no_request() {
+        alone(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+            let to = Upstream::new(listener.local_addr().expect("an address"));
+            let upstream = std::thread::spawn(move || {
+                let (mut first, _) = listener.accept().expect("accepts");
+                assert!(read_until(&mut first, b"body").ends_with(b"body"));
+                first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("writes");
+                let stale = read_until(&mut first, b"\r\n\r\n");
+                socket2::SockRef::from(&first).set_linger(Some(Duration::ZERO)).expect("a socket");
+                drop(first);
+                let (mut second, _) = listener.accept().expect("accepts");
+                assert!(read_until(&mut second, b"body").ends_with(b"body"));
+                second.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("writes");
+                stale
+            });
+            let transport = Transport { trial: Duration::from_secs(60), ..transport(Sockets::new(64)) };
+            for _ in 0..2 {
+                let out = Outgoing { method: Method::POST, body: Bytes::from("body"), ..outgoing() };
+                let until = Instant::now() + Duration::from_secs(50);
+                let (ending, answer) = transport.attempt(to.clone(), Rc::new(out), until).await;
+                assert_eq!(ending, Ending::Ok);
+                assert!(matches!(answer, Some(Answer::Served { .. })));
+            }
+            let stale = upstream.join().expect("the upstream");
+            assert!(stale.ends_with(b"\r\n\r\n"), "the body went out on a connection on trial");
+        });
+    }
+
+    /// Reads until what came ends with `end`, or nothing more comes.
+    fn read_until(from: &mut std::net::TcpStream, end: &[u8]) -> Vec<u8> {
+        let (mut all, mut byte) = (Vec::new(), [0]);
+        while !all.ends_with(end) && from.read(&mut byte).is_ok_and(|n| n == 1) {
+            all.extend_from_slice(&byte);
+        }
+        all
+    }
+
+    fn outgoing() -> Outgoing {
+        Outgoing {
+            name: None,
+            method: Method::GET,
+            target: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            over: Cell::new(false),
+        }
+    }
+
     /// Guards against blaming an upstream for our own want of descriptors: nothing was tried.
     #[test]
     fn a_shortage_of_our_own_is_no_failure_of_the_upstream() {
@@ -351,14 +453,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
             let sockets = Sockets::new(64);
             let all: Vec<_> = std::iter::from_fn(|| sockets.upstream()).collect();
-            let out = Outgoing {
-                name: None,
-                method: Method::GET,
-                target: Uri::from_static("/api"),
-                headers: HeaderMap::new(),
-                body: Bytes::new(),
-                over: Cell::new(false),
-            };
+            let out = outgoing();
             let to = Upstream::new(listener.local_addr().expect("an address"));
             let until = Instant::now() + Duration::from_secs(5);
             let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until).await;
