--- a/src/policy.rs
+++ b/src/policy.rs
@@ -330,9 +330,8 @@
 struct Pool {
     runs_in: Option<Vec<u16>>,
     kinds_only: Option<Vec<u8>>,
-    /// Own zone first, then the others.
-    near: Vec<usize>,
-    far: Vec<usize>,
+    /// Those of the own zone, and the others.
+    places: [Vec<usize>; 2],
 }
 
 impl Pool {
@@ -459,7 +458,7 @@
             let allowed = ring.iter().copied().filter(|&i| pool.admits(&self.slots[i].member));
             let (near, far): (Vec<_>, Vec<_>) =
                 allowed.partition(|&i| !zoned || self.slots[i].member.zone == s.zone);
-            (pool.near, pool.far) = (aperture(near), aperture(far));
+            pool.places = [aperture(near), aperture(far)];
         }
     }
 
@@ -614,9 +613,8 @@
     }
 
     /// The less busy of two random usable upstreams.
-    fn pick(&mut self, far: bool, ask: &PickRequest, rng: &mut Pcg64Mcg) -> Option<usize> {
-        let pool = &self.pools[ask.pool];
-        let n = if far { pool.far.len() } else { pool.near.len() };
+    fn pick(&mut self, far: usize, ask: &PickRequest, rng: &mut Pcg64Mcg) -> Option<usize> {
+        let n = self.pools[ask.pool].places[far].len();
         if n == 0 {
             return None;
         }
@@ -628,7 +626,7 @@
                 break;
             }
             let k = if draw < DRAWS { below(rng, n) } else { (start + draw) % n };
-            let i = if far { self.pools[ask.pool].far[k] } else { self.pools[ask.pool].near[k] };
+            let i = self.pools[ask.pool].places[far][k];
             let out = (best == Some(i) && n > 1) || ask.avoid == Some(i);
             if out || !ask.allows(&self.slots[i].member) || !self.usable(i, ask) {
                 continue;
@@ -744,11 +742,12 @@
             (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
         };
         let pool = self.fleet.pool_of[p.class];
-        let ready = self.fleet.pools.iter().map(|p| p.near.len() + p.far.len()).fold(1, usize::max) as f64;
+        let ready =
+            self.fleet.pools.iter().map(|p| p.places.iter().map(Vec::len).sum()).fold(1, usize::max) as f64;
         let cold_rate = self.admission.recent / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
         let ask = PickRequest { settings: s, now, pool, cold_rate, avoid: p.last, desperate: false, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
-        let picked = [(false, &ask), (true, &ask), (false, &last_resort), (true, &last_resort)]
+        let picked = [(0, &ask), (1, &ask), (0, &last_resort), (1, &last_resort)]
             .into_iter()
             .find_map(|(far, ask)| self.fleet.pick(far, ask, &mut self.rng));
         let Some(i) = picked else { return false };
