Book an answer that cannot be read as an error, not as a broken connection

The network code now tells the two apart, and the module takes a reset for a stale connection only within 10 ms of the send. An answer that was answered but can't be read remains an attempt that may have run.

Ruled out: answers turned away though they are valid; each kind was looked at in the raw bytes.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -3,7 +3,7 @@
 use crate::inbound::{Shared, HEAD_MOST};
 use crate::sockets::Sockets;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -12,6 +12,7 @@
 use oakflow::Ending;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -235,17 +236,20 @@
                     match (unwritten, reused) {
                         (true, true) => {}
                         (true, false) => return (Ending::ConnectFailed, None),
-                        (false, _) => return (Ending::Reset, None),
+                        (false, _) => return (broken(e.error()), None),
                     }
                 }
             }
         };
         if !has_an_end(&answer) || answer.body().size_hint().lower() > BODY_MOST as u64 {
-            return (Ending::Reset, None);
+            return (Ending::Error, None);
         }
         let ending = ending(&answer);
         let (head, body) = answer.into_parts();
-        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Ending::Reset, None) };
+        let body = match Limited::new(body, BODY_MOST).collect().await {
+            Ok(body) => body,
+            Err(e) => return (broken(&*e), None),
+        };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
             if !to.closed(Instant::now()) && conn.generation == to.generation.get() && conn.clean() {
@@ -314,6 +318,24 @@
     matches!(e.raw_os_error(), Some(23 | 24 | 99 | 105))
 }
 
+/// How an attempt ended whose answer did not come whole: the connection broke, or what came can't be read. The
+/// second says nothing about the connection, and must not make good ones that rest look bad.
+fn broken(e: &(dyn Error + 'static)) -> Ending {
+    let unreadable = match e.downcast_ref::<hyper::Error>() {
+        Some(e) if e.is_parse() => true,
+        Some(e) => e.source().and_then(|s| s.downcast_ref::<io::Error>()).is_some_and(|s| {
+            // What hyper says of chunks that are none.
+            matches!(s.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+        }),
+        None => e.is::<LengthLimitError>(),
+    };
+    if unreadable {
+        Ending::Error
+    } else {
+        Ending::Reset
+    }
+}
+
 /// Whether it is certain where an answer ends: it states its length once, in one way. One that ends with its
 /// connection may be cut short, and one with two framings may be read otherwise than it was meant.
 fn has_an_end<B>(answer: &Response<B>) -> bool {
@@ -394,6 +416,43 @@
         });
     }
 
+    /// Guards against blaming connections for answers that came and can't be read: the module would close good ones.
+    #[test]
+    fn an_unreadable_answer_is_an_error_and_a_broken_connection_a_reset() {
+        let long =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", "2\r\nxx\r\n".repeat(40_000));
+        for (answer, wanted) in [
+            ("HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
+            ("ICY 200 OK\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
+            ("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx", Ending::Error),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nxx\r\n0\r\n\r\n", Ending::Error),
+            (long.as_str(), Ending::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx", Ending::Reset),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nx", Ending::Reset),
+            ("HTTP/1.1 200 OK\r\nContent-Len", Ending::Reset),
+            ("", Ending::Reset),
+        ] {
+            alone(async {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+                let to = Upstream::new(listener.local_addr().expect("an address"));
+                let text = answer.to_string();
+                let upstream = std::thread::spawn(move || {
+                    let (mut peer, _) = listener.accept().expect("accepts");
+                    read_until(&mut peer, b"body");
+                    // The reader may hang up before it has taken all of it.
+                    let _ = peer.write_all(text.as_bytes());
+                });
+                let out = Outgoing { method: Method::POST, body: Bytes::from("body"), ..outgoing() };
+                let until = Instant::now() + Duration::from_secs(50);
+                let (ending, _) = transport(Sockets::new(64)).attempt(to, Rc::new(out), until).await;
+                assert_eq!(ending, wanted, "{answer:.100}");
+                upstream.join().expect("the upstream");
+            });
+        }
+    }
+
     /// Guards against losing a request that must not run twice to a connection that went stale while it rested: the
     /// reset comes for its head, and it has surely not run. The trial is too long to pass by itself.
     #[test]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -78,8 +78,10 @@
 const REST_GAIN: f64 = 0.1;
 const REST_LOST: f64 = 0.2;
 const REST_TRIALS: f64 = 0.02;
-/// Weight of a reset that comes at once on one that rested: it went stale, and all calls on such are lost.
+/// Weight of a reset that comes at once on one that rested, within this time: it went stale, and all calls on
+/// such are lost.
 const REST_STALE: f64 = 0.5;
+const REST_STALE_WITHIN: Millis = 10.0;
 /// Random draws before the pick walks the list or settles for one.
 const DRAWS: usize = 6;
 /// Smoothing of an upstream's own answer time; the ratio that decides between two that hold as many calls;
@@ -533,8 +535,8 @@
         rng: &mut Pcg64Mcg,
     ) -> bool {
         let hung = ending == Ending::Timeout && self.silent(i, now);
-        // What broke off as late as answers come was carried: its connection had not been dropped on the way.
-        let reset = ending == Ending::Reset && duration < self.latency / 2.0;
+        // What broke off later was carried: its connection had not been dropped on the way.
+        let reset = ending == Ending::Reset && duration < REST_STALE_WITHIN;
         let lost = ending == Ending::Timeout || reset;
         let cut = matches!(ending, Ending::Cancelled | Ending::ConnectFailed);
         if !cut && ending != Ending::Moot {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -448,6 +448,23 @@
     assert!(!w.log.iter().any(|a| matches!(a, Action::CloseIdle(_))));
 }
 
+/// Answers that broke off, some early, were taken for connections gone stale: good ones were closed before use.
+#[test]
+fn answers_that_break_off_now_and_then_close_no_rested_connections() {
+    let mut w = world(shared(&[1.0]), 8);
+    for id in 0..400 {
+        w.request(id, 0, 0);
+        let broken = id % 20 == 19;
+        w.pass(if broken { 30.0 } else { 100.0 });
+        w.outcome(id, 0, if broken { Ending::Reset } else { Ending::Ok });
+        if broken {
+            w.outcome(id, 1, Ending::Ok);
+        }
+        w.pass(100.0);
+    }
+    assert!(!w.log.iter().any(|a| matches!(a, Action::CloseIdle(_))));
+}
+
 /// Answers of all upstreams alike came spoilt now and then: two or three of four were ejected by chance, and those
 /// that were left jammed under the load of all.
 #[test]
