Answer an unmarked 429 of an upstream as a failure, not as a refusal

Cause: an upstream's 4xx is passed on to the caller, and 429 was passed on with the rest. To a caller 429 says that trying again is harmless, but only the mark of a declined request proves that nothing ran: a client that retried an open-plan on it could have had it run twice.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -353,6 +353,8 @@
     match answer.status() {
         StatusCode::OK => Ending::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Ending::Full,
+        // Passed on it would be a refusal, which promises that nothing has run.
+        StatusCode::TOO_MANY_REQUESTS => Ending::Error,
         status if status.is_client_error() => Ending::Cancelled,
         _ => Ending::Error,
     }
--- a/node/tests/upstreams.rs
+++ b/node/tests/upstreams.rs
@@ -63,6 +63,18 @@
     }
 }
 
+/// Passed on, a 429 told the caller that nothing had run, though only a marked refusal proves that.
+#[test]
+fn an_unmarked_refusal_is_a_failure_to_the_caller() {
+    for unmarked in ["429 Too Many Requests", "503 Service Unavailable", "504 Gateway Timeout"] {
+        let upstream = Upstream::start(move |_| status(unmarked));
+        let node = Node::with(&[upstream.addr]);
+        assert_eq!(node.client().call(&pay("r1", "15000m")).status(), 502, "{unmarked}");
+        assert_eq!(upstream.request().header("req-id"), Some("r1"));
+        assert_eq!(upstream.further(), 0, "it is not sent again");
+    }
+}
+
 #[test]
 fn what_an_upstream_cannot_use_is_the_callers_fault() {
     let upstream = Upstream::start(|m| match m.header("req-id") {
