Let capacity go at once with the upstreams that take calls

The learned capacity fell only with late answers, seconds after. What draining servers still owed then filled the limit while fresh ones held nothing.

Capacity and its peak now scale with the upstreams that are ready, not ejected, and warm; only calls in flight to these count against it. The number of ready upstreams, kept for the floor alone, gives way to this.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -149,10 +149,12 @@
     tenants: Vec<TenantState>,
     /// Calls per cycle. Learned: see [`Admission::learn`].
     capacity: f64,
-    /// The stated quotas per cycle; the part of answers in time; ready upstreams as a part of the most seen.
+    /// The stated quotas per cycle; the part of answers in time; upstreams that take calls, in warm ones' worth,
+    /// and the most there were.
     quota: f64,
     success: f64,
-    ready: f64,
+    taking: f64,
+    taking_most: f64,
     in_time: f64,
     admitted: f64,
     cycle_start: Millis,
@@ -163,7 +165,7 @@
     /// Answers since the last judgement, and their summed lateness.
     answers: f64,
     lateness: f64,
-    /// Calls in flight; those of them lost with their connection; and the mean time of an unqueued answer.
+    /// Calls in flight to them; those lost with their connection; and the mean time of an unqueued answer.
     inflight: f64,
     lost: f64,
     unloaded: Millis,
@@ -194,7 +196,6 @@
             capacity,
             quota: (quota * CYCLE / 1000.0).max(0.1),
             success: 1.0,
-            ready: 1.0,
             cycle_start: now,
             recent: stated,
             peak: stated,
@@ -272,11 +273,23 @@
         self.admitted = (self.admitted - self.capacity * part).clamp(0.0, self.capacity);
     }
 
+    /// Capacity is that of the upstreams that take calls: it goes with them at once. Learned from late answers
+    /// alone, the loss of some had crowded those that were left by then.
+    fn taking(&mut self, now_taking: f64) {
+        if now_taking > 0.0 {
+            let part = if self.taking > 0.0 { now_taking / self.taking } else { 1.0 };
+            (self.capacity, self.peak) = (self.capacity * part, self.peak * part);
+            self.taking = now_taking;
+            self.taking_most = self.taking_most.max(now_taking);
+        }
+    }
+
     /// Least capacity: the stated quotas, since lateness that is not of the load's making (heavy work, silent
     /// servers) would cut it to nothing. Less where most answers are too late to count, for crowded servers
     /// lose all that is admitted, and where upstreams went away.
     fn floor(&self) -> f64 {
-        self.quota * self.ready * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, 1.0)
+        let part = if self.taking > 0.0 { self.taking / self.taking_most } else { 1.0 };
+        self.quota * part * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, 1.0)
     }
 
     /// Takes note of how late an answer was.
@@ -354,8 +367,8 @@
     pools: Vec<Pool>,
     /// The pool of each class.
     pool_of: Vec<usize>,
-    /// Ready upstreams, and the most there were.
-    ready: (usize, usize),
+    /// Ready upstreams.
+    ready: usize,
     subset: usize,
     fails: f64,
     /// Mean answer time, and the mean deviation from it.
@@ -451,7 +464,7 @@
             let m = &self.slots[i].member;
             (ring_place(UpstreamId(m.group.into())), ring_place(m.id), m.id)
         });
-        self.ready = (ring.len(), self.ready.1.max(ring.len()));
+        self.ready = ring.len();
         let zoned = s.cross_zone_price >= CROSSING_CHEAP;
         let aperture = |ring: Vec<usize>| {
             let n = ring.len();
@@ -476,6 +489,17 @@
         }
     }
 
+    /// Upstreams that take calls on the ordinary path, cold ones by what they can do, and the calls in flight to
+    /// them. What others still owe is no burden to these.
+    fn taking(&self, s: &Settings, now: Millis) -> (f64, f64) {
+        let ready =
+            self.by_id.values().filter(|&&i| self.slots[i].member.availability == Availability::Ready);
+        let taking = ready.filter(|&&i| now >= self.slots[i].ejected_until);
+        taking.fold((0.0, 0.0), |(n, out), &i| {
+            (n + self.warmth(i, s, now), out + f64::from(self.slots[i].inflight))
+        })
+    }
+
     /// What part of its full capacity an upstream has now, for sure.
     fn warmth(&self, i: usize, s: &Settings, now: Millis) -> f64 {
         let age = now - self.slots[i].member.since;
@@ -543,7 +567,7 @@
             self.heard(rest, lost, if reset && rest > 0 { REST_STALE } else { REST_GAIN });
         }
         let out = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
-        let most = (self.ready.0 / EJECT_PART).max(1);
+        let most = (self.ready / EJECT_PART).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -762,7 +786,6 @@
             rest = 0;
         }
         self.fleet.sent(i, rest, now);
-        self.admission.inflight += 1.0;
         let member = &self.fleet.slots[i].member;
         let timeout = self.timeout(p, i, rest, now);
         actions.push(Action::Send { request: id, upstream: member.id, timeout });
@@ -818,6 +841,7 @@
             return;
         }
         self.retries = (self.retries + RETRY_RATIO).min(RETRY_SAVED);
+        self.note_taking(now);
         if r.class >= self.settings.classes.len() || !self.admission.admit(r.tenant, now) {
             let refusal = self.refusal(r.id);
             return actions.push(refusal);
@@ -834,6 +858,12 @@
         }
     }
 
+    fn note_taking(&mut self, now: Millis) {
+        let (taking, inflight) = self.fleet.taking(&self.settings, now);
+        self.admission.taking(taking);
+        self.admission.inflight = inflight;
+    }
+
     /// Calls that are late already count before their answers come: judged by the answers alone, which
     /// are the fast ones at first, a tier that slows down would look well.
     fn judge_unanswered(&mut self, now: Millis) {
@@ -877,7 +907,6 @@
         let class = p.class;
         p.over |= closed;
         let (over, waiting) = (p.over, !p.out.is_empty());
-        self.admission.inflight -= 1.0;
         let own = self.fleet.ended((i, rest), ending, duration, now, &mut self.rng);
         self.fleet.forget_if_gone(i);
         let lateness = match ending {
@@ -931,6 +960,7 @@
                     self.ask_failures = 0;
                 }
                 self.fleet.apply(news, &self.settings, now, &mut self.rng);
+                self.note_taking(now);
             }
             Event::Request(r) => self.request(now, r, actions),
             Event::Outcome { request, attempt, ending, duration, closed } => {
@@ -950,8 +980,7 @@
             Event::Timer(TIMER_CYCLE) => {
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
-                let (ready, most) = self.fleet.ready;
-                self.admission.ready = ready as f64 / most.max(1) as f64;
+                self.note_taking(now);
                 self.admission.end_cycle(now);
                 let late = self.admission.success < SUCCESS_WANTED;
                 if std::mem::replace(&mut self.late, late) != late {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -479,6 +479,43 @@
     assert!(to.len() >= 3, "one of four may be ejected: {sent} calls went to {to:?}");
 }
 
+/// Capacity was learned down only by late answers, seconds after three of four upstreams had left: by then the last
+/// one was crowded, and crowded ones slow for long.
+#[test]
+fn capacity_leaves_with_the_upstreams_that_leave() {
+    let burst = |leave: &[u64]| {
+        let class = Class { late_worth: 0.5, ..class(Effect::SingleShot) };
+        let mut w = world(Settings { classes: vec![class], ..shared(&[1.0]) }, 4);
+        w.traffic(5000.0, 60.0, &[0], &|_| Some((Ending::Ok, 150.0)));
+        w.pass(1000.0);
+        let draining = |&id| Member { availability: Availability::Draining, ..member(id) };
+        w.list(Membership::Delta(leave.iter().map(draining).collect()));
+        let from = w.now;
+        w.traffic(900.0, 100.0, &[0], &|_| None);
+        w.sent_since(from).0
+    };
+    let (all, one) = (burst(&[]), burst(&[2, 3, 4]));
+    assert!(
+        one > 2 && one * 3 <= all + 3,
+        "{all} calls at once went to four upstreams, {one} to the one left"
+    );
+}
+
+/// What upstreams that drain still owe filled what may be in flight: calls were refused that the others could serve.
+#[test]
+fn calls_owed_by_upstreams_that_left_do_not_fill_what_may_be_in_flight() {
+    let class = Class { late_worth: 0.5, ..class(Effect::SingleShot) };
+    let mut w = world(Settings { classes: vec![class], ..shared(&[1.0]) }, 2);
+    w.traffic(5000.0, 60.0, &[0], &|_| Some((Ending::Ok, 150.0)));
+    w.traffic(900.0, 100.0, &[0], &|_| None);
+    let draining = |id| Member { availability: Availability::Draining, ..member(id) };
+    w.list(Membership::Delta([draining(1), draining(2), member(3), member(4)].into()));
+    let from = w.now;
+    w.traffic(200.0, 60.0, &[0], &|_| Some((Ending::Ok, 150.0)));
+    let (sent, _) = w.sent_since(from);
+    assert!(sent >= 10, "{sent} of 12 calls pass though two upstreams hold none");
+}
+
 /// In a jam in which three of four answers were still in time, what counts as the unloaded answer time grew, and with
 /// it what may be in flight: the crowded upstreams never had the rest that they recover by.
 #[test]
