--- a/src/policy.rs
+++ b/src/policy.rs
@@ -149,8 +149,8 @@
     tenants: Vec<TenantState>,
     /// Calls per cycle. Learned: see [`Admission::learn`].
     capacity: f64,
-    /// The stated quotas per cycle; the part of answers in time; upstreams that take calls, in warm ones' worth,
-    /// and the most there were.
+    /// The stated quotas per cycle; the part of answers in time; upstreams that take calls, cold ones by what
+    /// they can do, and the most there were.
     quota: f64,
     success: f64,
     taking: f64,
@@ -273,8 +273,8 @@
         self.admitted = (self.admitted - self.capacity * part).clamp(0.0, self.capacity);
     }
 
-    /// Capacity is that of the upstreams that take calls: it goes with them at once. Learned from late answers
-    /// alone, the loss of some had crowded those that were left by then.
+    /// Capacity is that of the upstreams that take calls: it goes with them at once. Late answers tell of the
+    /// loss of some only when those that are left are crowded.
     fn taking(&mut self, now_taking: f64) {
         if now_taking > 0.0 {
             let part = if self.taking > 0.0 { now_taking / self.taking } else { 1.0 };
@@ -489,8 +489,8 @@
         }
     }
 
-    /// Upstreams that take calls on the ordinary path, cold ones by what they can do, and the calls in flight to
-    /// them. What others still owe is no burden to these.
+    /// Upstreams that take calls on the ordinary path, cold ones by what they can do, and the calls in flight
+    /// to them. What others still owe is no burden to these.
     fn taking(&self, s: &Settings, now: Millis) -> (f64, f64) {
         let ready =
             self.by_id.values().filter(|&&i| self.slots[i].member.availability == Availability::Ready);
