Eject an upstream only where its failures clearly exceed the whole list's

Two failures in a row ejected a server, so that one of four was away at nearly all times and the others jammed from 9 s on.

The bar for ejection now stands 0.4 above the whole list's failures instead of at 0.4.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,7 +54,8 @@
 const PEAK_KEPT: f64 = 0.95;
 /// Smoothing of an upstream's failures, per outcome.
 const FAIL_GAIN: f64 = 0.25;
-/// An upstream is ejected when its failures exceed this and this multiple of the whole list's.
+/// An upstream is ejected when its failures exceed the whole list's by this, and are this multiple of them:
+/// where all fail now and then, two in a row are chance, and good ones that are out leave the others crowded.
 const EJECT_AT: f64 = 0.4;
 const EJECT_RATIO: f64 = 2.0;
 /// One in this many is ejected at once: chance failures of all alike would jam the few that are left.
@@ -605,7 +606,7 @@
         u.fails = if hung { 1.0 } else { u.fails };
         // The fleet's figure counts all: where most fail, it is no fault of each one's own.
         self.fails += 0.02 * (bad - self.fails);
-        let own = u.fails > EJECT_AT && u.fails > EJECT_RATIO * self.fails;
+        let own = u.fails > EJECT_AT + self.fails && u.fails > EJECT_RATIO * self.fails;
         if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
             u.ejections = 0;
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -531,6 +531,25 @@
     assert!(sent >= 10, "{sent} of 12 calls pass though two upstreams hold none");
 }
 
+/// Where one answer in eight fails at all upstreams alike, two failures in a row are chance: each ejection left a
+/// quarter more to the others, and there was one at nearly all times.
+#[test]
+fn failures_that_all_share_eject_few() {
+    let class = Class { late_worth: 0.5, ..class(Effect::SingleShot) };
+    let mut w = world(Settings { classes: vec![class], ..shared(&[1.0]) }, 4);
+    let rng = std::cell::Cell::new(1u32);
+    w.traffic(40_000.0, 60.0, &[0], &|_| {
+        rng.set(rng.get().wrapping_mul(1_664_525).wrapping_add(1_013_904_223));
+        Some((if rng.get() >> 29 == 0 { Ending::Error } else { Ending::Ok }, 50.0))
+    });
+    let mut calls = BTreeMap::new();
+    for &(to, at) in w.seen.values().flat_map(|s| &s.sends).filter(|(_, at)| *at >= 5000.0) {
+        *calls.entry((to, (at / 1000.0) as u32)).or_insert(0) += 1;
+    }
+    let away = 4 * 35 - calls.len();
+    assert!(away <= 14, "upstreams were away for {away} of 140 seconds");
+}
+
 /// In a jam in which three of four answers were still in time, what counts as the unloaded answer time grew, and with
 /// it what may be in flight: the crowded upstreams never had the rest that they recover by.
 #[test]
