Let an ejected upstream come back as far below the bar as before

Takes back the change that set its failures to the new bar: one failure in eight then ejects good servers again and again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -616,7 +616,7 @@
             u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
             u.ejections += 1;
             // One more failure after its return ejects it again.
-            u.fails = EJECT_AT + self.fails;
+            u.fails = EJECT_AT;
         }
         own
     }
