Book a request whose write failed as one that could not connect

Cause: a connection that is reset between its handshake and the request fails the write itself. The last byte was not written, which PROTOCOL counts as 'could not connect', never ran; it was booked as a reset, and a single-shot request failed with it.

Ruled out: taking every reset on a fresh connection so; after a whole write it may have run.

--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -15,24 +15,40 @@
 
 /// A stream with more than one holder; closed when the last one drops it.
 #[derive(Clone)]
-pub struct Shared(Rc<RefCell<TcpStream>>);
+pub struct Shared {
+    stream: Rc<RefCell<TcpStream>>,
+    /// Set once something could not be written.
+    write_failed: Rc<Cell<bool>>,
+}
 
 impl Shared {
     /// Shares a stream.
     pub fn new(stream: TcpStream) -> Shared {
-        Shared(Rc::new(RefCell::new(stream)))
+        Shared { stream: Rc::new(RefCell::new(stream)), write_failed: Rc::default() }
+    }
+
+    /// Whether a write has failed: the last byte of what was being written has not been.
+    pub fn write_failed(&self) -> bool {
+        self.write_failed.get()
+    }
+
+    fn note_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Err(_))) {
+            self.write_failed.set(true);
+        }
+        written
     }
 
     /// Whether the socket is open and holds nothing unread. Asks the system: the runtime learns of bytes and of
     /// ends only when it next waits.
     pub fn quiet(&self) -> bool {
-        let stream = self.0.borrow();
+        let stream = self.stream.borrow();
         let peeked = socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     fn stream(&self) -> RefMut<'_, TcpStream> {
-        self.0.borrow_mut()
+        self.stream.borrow_mut()
     }
 }
 
@@ -44,7 +60,8 @@
 
 impl AsyncWrite for Shared {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.stream()).poll_write(cx, buf);
+        self.note_write(written)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -60,11 +77,12 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs);
+        self.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 }
 
@@ -237,6 +255,22 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::AsyncWriteExt;
+
+    /// Guards against taking a request for one that may have run whose last byte no connection took.
+    #[tokio::test]
+    async fn a_write_that_fails_is_remembered() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let (stream, peer) = tokio::join!(TcpStream::connect(addr), listener.accept());
+        let (mut stream, (peer, _)) = (Shared::new(stream.expect("connects")), peer.expect("accepts"));
+        stream.write_all(b"whole").await.expect("it is open");
+        assert!(!stream.write_failed());
+        socket2::SockRef::from(&peer).set_linger(Some(std::time::Duration::ZERO)).expect("a socket");
+        drop(peer);
+        assert!(stream.write_all(b"lost").await.is_err());
+        assert!(stream.write_failed());
+    }
 
     fn kind(head: &str) -> String {
         match framing(head.as_bytes()) {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -232,7 +232,7 @@
                 Err(mut e) => {
                     // The last byte was never written. A connection that rested and had been closed meanwhile says
                     // nothing about the upstream, so the next one is tried; each is tried once.
-                    let unwritten = !given.get() || e.take_message().is_some();
+                    let unwritten = !given.get() || e.take_message().is_some() || conn.socket.write_failed();
                     match (unwritten, reused) {
                         (true, true) => {}
                         (true, false) => return (Ending::ConnectFailed, None),
