Find a watch that fell silent after its wait of 1 s instead of 20 s

The calls began at 0 s with a wait of 20 s and 2 s for the answer, so nothing of the release that began at 9 s was known before; at 22 s all of it counted as told (2 s after the wait), and the next call came 0.5 s later, past the grace of 300 ms. Ruled out: the module (no list reached it) and the network (calls on a new connection were answered at once).

At fault: WAIT and ANSWER in node/src/discovery.rs, one pair for both kinds of list. A pushed list comes from an agent on this machine that answers at no cost: wait 1 s, answer 0.5 s. Discovery that must be asked is one queue for all: 5 s and 1.5 s, so that the next call still comes before its news counts as told.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,10 +17,22 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// How long one call of a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(20);
-/// Beyond its wait a call gets this long to answer, before it counts as failed.
-const ANSWER: Duration = Duration::from_secs(2);
+/// How long one call of a watch may wait for news, and how long it then gets to answer before it counts as failed.
+/// Guards against a watch that falls silent: nothing tells it from one without news until its wait is over, and
+/// 2 s after that all news counts as told.
+#[derive(Clone, Copy)]
+struct Patience {
+    wait: Duration,
+    answer: Duration,
+}
+
+impl Patience {
+    /// The agent that a list is pushed to is on this machine and answers at no cost.
+    const PUSHED: Patience = Patience { wait: Duration::from_secs(1), answer: Duration::from_millis(500) };
+    /// Discovery that must be asked is one queue for all: fewer calls, and more time for each.
+    const ASKED: Patience = Patience { wait: Duration::from_secs(5), answer: Duration::from_millis(1500) };
+}
+
 /// A call for the whole list, which does not wait for news, gets this long: discovery works in turn.
 const WHOLE: Duration = Duration::from_secs(6);
 /// A connection to discovery that is not up after this long has failed: it must not use up a call's time.
@@ -155,6 +167,9 @@
     addr: SocketAddr,
     addresses: watch::Receiver<SocketAddr>,
     names: Names,
+    /// Whether the list needs no asking and the watch always stands.
+    pushed: bool,
+    patience: Patience,
     link: Option<Link>,
     version: Option<u64>,
 }
@@ -162,13 +177,19 @@
 impl Discovery {
     /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is
     /// where discovery is.
-    pub fn new(addresses: watch::Receiver<SocketAddr>, names: Names, version: Option<u64>) -> Discovery {
+    pub fn new(
+        addresses: watch::Receiver<SocketAddr>,
+        names: Names,
+        pushed: bool,
+        version: Option<u64>,
+    ) -> Discovery {
         let addr = *addresses.borrow();
-        Discovery { addr, addresses, names, link: None, version }
+        let patience = if pushed { Patience::PUSHED } else { Patience::ASKED };
+        Discovery { addr, addresses, names, pushed, patience, link: None, version }
     }
 
-    /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
-    pub async fn run(mut self, driver: Handle, pushed: bool) {
+    /// Serves subscriptions for ever.
+    pub async fn run(mut self, driver: Handle) {
         let mut addresses = self.addresses.clone();
         let mut moved = false;
         loop {
@@ -184,7 +205,7 @@
                     // The program is ending.
                     Err(_) => return,
                 },
-                () = self.serve(&driver, pushed, moved) => {}
+                () = self.serve(&driver, moved) => {}
             }
         }
     }
@@ -197,7 +218,7 @@
 
     /// Serves subscriptions for ever. After a move the first call waits for none and is repeated until it has
     /// brought the whole list: until then the balancer goes by what it was told before.
-    async fn serve(&mut self, driver: &Handle, pushed: bool, moved: bool) {
+    async fn serve(&mut self, driver: &Handle, moved: bool) {
         let mut answered = false;
         if moved {
             let mut pause = MOVED_PAUSE;
@@ -216,7 +237,7 @@
             }
         }
         loop {
-            if !pushed && !answered {
+            if !self.pushed && !answered {
                 driver.subscribed().await;
             }
             let error = loop {
@@ -234,7 +255,7 @@
             answered = false;
             self.failed(&error);
             driver.list_failed();
-            if pushed {
+            if self.pushed {
                 tokio::time::sleep(PUSHED_PAUSE).await;
             }
         }
@@ -248,7 +269,8 @@
     /// One call. An answer that is malformed is an error and changes nothing, and so are changes that do not
     /// follow what is known; a whole list holds whatever its version, as discovery may have begun anew.
     async fn call(&mut self) -> Result<Listing, String> {
-        let patience = if self.version.is_some() { WAIT + ANSWER } else { WHOLE };
+        let Patience { wait, answer } = self.patience;
+        let patience = if self.version.is_some() { wait + answer } else { WHOLE };
         let listing =
             timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
         if !listing.full && self.version.is_none_or(|v| listing.version < v) {
@@ -271,7 +293,7 @@
         }
         let Some(link) = self.link.as_mut() else { return Err("not connected".into()) };
         let path = match self.version {
-            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", WAIT.as_millis()),
+            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", self.patience.wait.as_millis()),
             None => "/api/targets".to_string(),
         };
         let request = Request::get(path).header(header::HOST, self.addr.to_string()).body(Empty::new());
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -97,8 +97,9 @@
     handle.cached(known.as_ref());
     let (address_of_discovery, addresses) = watch::channel(discovery);
     tokio::task::spawn_local(follow(hup, address_of_discovery));
-    let watcher = Discovery::new(addresses, Names::of(&deployment), known.as_ref().map(|k| k.version));
-    tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
+    let (names, pushed) = (Names::of(&deployment), !deployment.policy.ask_for_list);
+    let watcher = Discovery::new(addresses, names, pushed, known.as_ref().map(|k| k.version));
+    tokio::task::spawn_local(watcher.run(handle.clone()));
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -1,6 +1,8 @@
 //! The balancer on loopback sockets: each test stands for one way in which it could fail.
 mod common;
 use common::*;
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -359,6 +361,34 @@
     assert_eq!(node.log(), Vec::<String>::new(), "no call counted as failed");
 }
 
+/// A watch that falls silent told nothing of a release for 22 s, while all news counts as told long before.
+#[test]
+fn a_watch_that_falls_silent_is_asked_again_in_time() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let silent = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let pushed =
+        config(silent.local_addr().expect("an address"), 1024, &known).replace("on_request", "pushed");
+    let node = Node::run(command(&pushed), Discovery::start());
+    let (tell, connections) = channel();
+    std::thread::spawn(move || silent.incoming().flatten().try_for_each(|s| tell.send(s)));
+    let call = || {
+        let mut stream = BufReader::new(connections.recv_timeout(PATIENCE).expect("a call in time"));
+        let call = read(&mut stream).expect("a call");
+        assert!(call.start.starts_with("GET /api/targets?since=1&"), "{}", call.start);
+        stream
+    };
+    let first = call();
+    let mut second = call();
+    let news = listing(2, true, &[(1, new.addr, "active")]);
+    let news = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{news}", news.len());
+    second.get_mut().write_all(news.as_bytes()).expect("writes");
+    let next = read(&mut second).expect("the watch goes on");
+    assert!(next.start.starts_with("GET /api/targets?since=2&"), "{}", next.start);
+    assert_eq!(node.client().call(&pay("r1", "15000m")).body, b"new");
+    drop(first);
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
     let (word, hold) = channel();
