Let cold upstreams of the first tier take their part also while calls are refused

At fault: the cold budget in Balancer::send went by what this copy admitted of late. The jam has every copy refuse, which cuts the budget, which leaves the calls to the crowded upstreams. It now goes by the stated quotas of each upstream where these are more, in the first tier, where they are stated for it.

What still jams the warm ones is not mended by this.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -299,6 +299,14 @@
         }
     }
 
+    /// Calls per cycle that this copy's part of so many warm upstreams can surely take: what was admitted of late,
+    /// but no less than they were stated to take all together. Refusing cuts what is admitted, and with it
+    /// gone cold upstreams would get least when they are needed most.
+    fn carried(&self, upstreams: usize) -> f64 {
+        let stated = if self.first { self.quota / self.taking_most.max(1.0) } else { 0.0 };
+        self.recent.max(stated * upstreams as f64)
+    }
+
     /// Least capacity: the stated quotas, since lateness that is not of the load's making (heavy work, silent
     /// servers) would cut it to nothing. Less where most answers are too late to count, for crowded servers
     /// lose all that is admitted, and where upstreams went away.
@@ -787,7 +795,8 @@
         let pool = self.fleet.pool_of[p.class];
         let ready =
             self.fleet.pools.iter().map(|p| p.places.iter().map(Vec::len).sum()).fold(1, usize::max) as f64;
-        let cold_rate = self.admission.recent / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
+        let cold_rate =
+            self.admission.carried(self.fleet.ready) / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
         let ask = PickRequest { settings: s, now, pool, cold_rate, avoid: p.last, desperate: false, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
         let picked = [(0, &ask), (1, &ask), (0, &last_resort), (1, &last_resort)]
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -564,3 +564,22 @@
     let (sent, _) = w.sent_since(from);
     assert!(sent < 30, "{sent} calls at once went into a jammed tier");
 }
+
+/// A cold upstream's part went by what was admitted of late: refusing calls cut it, so that the warm ones that were
+/// crowded for that stayed crowded.
+#[test]
+fn refusing_calls_takes_nothing_from_what_cold_upstreams_may_be_sent() {
+    let to_cold = |jam: f64| {
+        let class = Class { late_worth: 0.5, ..class(Effect::SingleShot) };
+        let mut w = world(Settings { classes: vec![class], ..shared(&[1.0]) }, 4);
+        w.traffic(5000.0, 60.0, &[0], &fast);
+        w.traffic(jam, 60.0, &[0], &|_| None);
+        w.list(Membership::Delta((1..=3).map(|id| Member { since: w.now, ..member(id) }).collect()));
+        let from = w.now;
+        w.traffic(5000.0, 60.0, &[0], &fast);
+        let (_, to) = w.sent_since(from);
+        (1..=3).map(|id| to.get(&UpstreamId(id)).copied().unwrap_or(0)).sum::<usize>()
+    };
+    let (calm, jammed) = (to_cold(0.0), to_cold(6000.0));
+    assert!(calm > 20 && jammed * 10 >= calm * 8, "{calm} calls to cold upstreams, after a jam {jammed}");
+}
