--- a/src/policy.rs
+++ b/src/policy.rs
@@ -299,9 +299,9 @@
         }
     }
 
-    /// Calls per cycle that this copy's part of so many warm upstreams can surely take: what was admitted of late,
-    /// but no less than they were stated to take all together. Refusing cuts what is admitted, and with it
-    /// gone cold upstreams would get least when they are needed most.
+    /// Calls per cycle that this copy's part of so many warm upstreams can surely take: what was admitted of
+    /// late, but no less than stated for them. Refusing calls cuts what is admitted: by that alone cold
+    /// upstreams would get least when they are needed most.
     fn carried(&self, upstreams: usize) -> f64 {
         let stated = if self.first { self.quota / self.taking_most.max(1.0) } else { 0.0 };
         self.recent.max(stated * upstreams as f64)
