Let what may be in flight into the first tier shrink with the copies that share it

At fault: Admission::admit. The spare call, the floor and the room for queues were right for one copy that keeps its upstreams level. Many copies load them by chance, so that the same sum crowds some, and all fill what they may. These parts now shrink with the number of copies. One copy alone decides as before; so do the tiers below.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,10 @@
 /// at which tenants within limits are refused too. More is a queue, and crowded servers slow for long.
 const INFLIGHT_FULL: f64 = 1.6;
 const INFLIGHT_MOST: f64 = 2.2;
+/// In place of that where many copies share the first tier; calls are full there at the unloaded one itself.
+const INFLIGHT_MANY: f64 = 1.3;
+/// Calls in flight always allowed: a copy that carries little gets them in pairs by chance.
+const INFLIGHT_LEAST: f64 = 2.0;
 /// Growth per cycle of what counts as the unloaded answer time, which is the least mean seen of late.
 const UNLOADED_UP: f64 = 0.02;
 /// Part of answers in time from which it may grow.
@@ -171,8 +175,9 @@
     lost: f64,
     unloaded: Millis,
     timely: Millis,
-    /// Whether clients reach this tier first, with quotas stated.
+    /// Whether clients reach this tier first, with quotas stated; and how many copies share it.
     first: bool,
+    copies: f64,
     /// Whether calls within their limits were refused this cycle.
     crowded: bool,
 }
@@ -205,6 +210,7 @@
             unloaded: objective / 4.0,
             timely: TIMELY * objective,
             first: s.stage == 0 && stated > 0.0,
+            copies: f64::from(s.balancers),
             ..Admission::default()
         }
     }
@@ -221,9 +227,15 @@
         // the capacity takes in the unloaded answer time are waiting somewhere.
         // A calm day tests no more than it brings: what it lets capacity grow to is no measure for these.
         let tested = if self.first { self.capacity.min(self.quota * self.part()) } else { self.capacity };
-        let room = |time: Millis| tested / CYCLE * time + INFLIGHT_SPARE;
-        let full = room(self.unloaded * INFLIGHT_FULL);
-        let most = room((self.unloaded * INFLIGHT_MOST).max(self.timely));
+        // By its own calls one copy keeps upstreams level; many copies load them by chance, so that the same
+        // sum crowds some of them. And in an overload all hold as much as they may: what each may counts
+        // times all. Below the first tier a refusal wastes work, and calls come in small numbers.
+        let copies = if self.first { self.copies } else { 1.0 };
+        let among = |alone: f64, many: f64| many + (alone - many) / copies;
+        let room = |time: Millis| (tested / CYCLE * time + among(INFLIGHT_SPARE, 0.0)).max(INFLIGHT_LEAST);
+        let full = room(self.unloaded * among(INFLIGHT_FULL, 1.0));
+        let most = (self.unloaded * INFLIGHT_MOST).max(self.timely);
+        let most = room(among(most, self.unloaded * INFLIGHT_MANY));
         let t = &mut self.tenants[tenant];
         t.count += 1.0;
         let inflight = self.inflight - self.lost;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -583,3 +583,32 @@
     let (calm, jammed) = (to_cold(0.0), to_cold(6000.0));
     assert!(calm > 20 && jammed * 10 >= calm * 8, "{calm} calls to cold upstreams, after a jam {jammed}");
 }
+
+/// Every copy's call to spare and its room up to the timely part of the aim, times all copies: a fleet that lost part
+/// of the first tier let three times as much into the rest as it could hold.
+#[test]
+fn copies_that_share_the_first_tier_leave_no_room_that_counts_times_all() {
+    let burst = |balancers: u32| {
+        let class = Class { late_worth: 0.5, ..class(Effect::SingleShot) };
+        let tenants = tenants(&[1.0], 60.0 * f64::from(balancers));
+        let mut w = world(Settings { classes: vec![class], tenants, balancers, ..Settings::default() }, 4);
+        w.traffic(20_000.0, 60.0, &[0], &fast);
+        w.pass(500.0);
+        let from = w.now;
+        w.traffic(900.0, 100.0, &[0], &|_| None);
+        w.sent_since(from).0
+    };
+    // 60 a second each, answered after 50 ms: three in flight; alone what the timely 200 ms take, and one to spare.
+    assert!((12..=13).contains(&burst(1)), "{} calls at once from one that is alone", burst(1));
+    assert!((4..=6).contains(&burst(20)), "{} calls at once from one of twenty", burst(20));
+}
+
+/// A copy of many that carries little still has a few calls in flight by chance, and none of them is refused.
+#[test]
+fn a_copy_of_many_that_carries_little_refuses_none_on_a_calm_day() {
+    let settings = Settings { tenants: tenants(&[1.0], 300.0), balancers: 100, ..Settings::default() };
+    let mut w = world(settings, 4);
+    w.traffic(60_000.0, 1.5, &[0], &|_| Some((Ending::Ok, 700.0)));
+    let refused = w.log.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    assert_eq!(refused, 0, "of 90 calls");
+}
