Take staff's suspensions of upstreams as events of the module

A suspended upstream is in no pool until it is restored, whatever the list says, and counts as cold from its restore on. The module also tells how many upstreams are listed and how many of them calls avoid now. Seen to fail without the check in Fleet::open and without the restore time in Fleet::warmth. Storms suspend and restore too, and the checker refuses sends to what is suspended.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -300,6 +300,15 @@
     },
     /// The client left, or its time ran out: nothing is owed any more.
     ClientGone(RequestId),
+    /// Staff leave an upstream out, listed or not: it is sent nothing until they restore it, whatever the list says.
+    Suspend(UpstreamId),
+    /// Staff use an upstream again. It was restarted while it was out, and the list may tell of that late.
+    Restore {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// When they did; it counts as cold from then on.
+        since: Millis,
+    },
     /// A timer asked for with [`Action::SetTimer`] is due.
     Timer(u32),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -377,6 +377,15 @@
     tokens_at: Millis,
 }
 
+impl Upstream {
+    /// One that nothing is known of yet.
+    fn fresh(member: Member, now: Millis, rng: &mut Pcg64Mcg) -> Self {
+        let times = Upstream { rested_from: now, silent_since: now, tokens_at: now, ..Default::default() };
+        // Hundreds of copies must not each send their first call at once: start in random phase.
+        Upstream { member, slowness: 1.0, tokens: unit(rng), ..times }
+    }
+}
+
 /// Where classes of one placement may go. Drawing among these, instead of rejecting draws from all, finds the
 /// few that are allowed, also as a last resort; nothing else is ever a candidate.
 #[derive(Default)]
@@ -403,6 +412,9 @@
     pools: Vec<Pool>,
     /// The pool of each class.
     pool_of: Vec<usize>,
+    /// Upstreams that staff leave out, whatever the list says; and when they took others back into use.
+    suspended: BTreeSet<UpstreamId>,
+    restored: BTreeMap<UpstreamId, Millis>,
     /// Ready upstreams.
     ready: usize,
     subset: usize,
@@ -449,22 +461,14 @@
             }
         }
         for member in members {
-            let fresh = |member| {
-                let times =
-                    Upstream { rested_from: now, silent_since: now, tokens_at: now, ..Default::default() };
-                Upstream { member, slowness: 1.0, ..times }
-            };
             if let Some(&i) = self.by_id.get(&member.id) {
                 if self.slots[i].member.since != member.since {
-                    // Restarted under its old id: cold again, and its old sins are forgotten.
-                    let inflight = self.slots[i].inflight;
-                    self.slots[i] = Upstream { inflight, tokens: unit(rng), ..fresh(member) };
+                    self.restarted(i, member, now, rng);
                 } else {
                     self.slots[i].member = member;
                 }
             } else if member.availability != Availability::Gone {
-                // Hundreds of copies must not each send their first call at once: start in random phase.
-                let upstream = Upstream { tokens: unit(rng), ..fresh(member) };
+                let upstream = Upstream::fresh(member, now, rng);
                 let i = self.free.pop().unwrap_or(self.slots.len());
                 if i == self.slots.len() {
                     self.slots.push(upstream);
@@ -480,6 +484,29 @@
         self.choose_subset(s);
     }
 
+    /// Restarted under its old id: cold again, and its old sins are forgotten.
+    fn restarted(&mut self, i: usize, member: Member, now: Millis, rng: &mut Pcg64Mcg) {
+        let inflight = self.slots[i].inflight;
+        self.slots[i] = Upstream { inflight, ..Upstream::fresh(member, now, rng) };
+    }
+
+    /// Takes an upstream back into use that staff had left out, listed or not.
+    fn restore(&mut self, id: UpstreamId, since: Millis, s: &Settings, now: Millis, rng: &mut Pcg64Mcg) {
+        self.suspended.remove(&id);
+        self.restored.retain(|_, &mut at| now - at < s.ramp_time);
+        self.restored.insert(id, since);
+        if let Some(&i) = self.by_id.get(&id) {
+            self.restarted(i, self.slots[i].member.clone(), now, rng);
+        }
+        self.choose_subset(s);
+    }
+
+    /// Whether an upstream may be sent calls at all: listed as ready, and not left out by staff.
+    fn open(&self, i: usize) -> bool {
+        let m = &self.slots[i].member;
+        m.availability == Availability::Ready && !self.suspended.contains(&m.id)
+    }
+
     /// Frees the place of an upstream that is gone once nothing is out to it.
     fn forget_if_gone(&mut self, i: usize) {
         let u = &self.slots[i];
@@ -493,8 +520,7 @@
     /// Connections grow as copies times servers: each copy keeps to a run of the ring, evenly placed by its
     /// own number, so that every upstream serves about as many copies as the next.
     fn choose_subset(&mut self, s: &Settings) {
-        let ready = |&&i: &&usize| self.slots[i].member.availability == Availability::Ready;
-        let mut ring: Vec<usize> = self.by_id.values().filter(ready).copied().collect();
+        let mut ring: Vec<usize> = self.by_id.values().copied().filter(|&i| self.open(i)).collect();
         // Groups stand together on it, so that a guarded request finds others of its group in the subset.
         ring.sort_by_key(|&i| {
             let m = &self.slots[i].member;
@@ -528,9 +554,8 @@
     /// Upstreams that take calls on the ordinary path, cold ones by what they can do, and the calls in flight
     /// to them. What others still owe, those that left and crowded ones, is no burden to these.
     fn taking(&self, s: &Settings, now: Millis) -> (f64, f64) {
-        let ready =
-            self.by_id.values().filter(|&&i| self.slots[i].member.availability == Availability::Ready);
-        let taking = ready.filter(|&&i| now >= self.slots[i].ejected_until && !self.crowded(i, s, now));
+        let open = self.by_id.values().filter(|&&i| self.open(i));
+        let taking = open.filter(|&&i| now >= self.slots[i].ejected_until && !self.crowded(i, s, now));
         taking.fold((0.0, 0.0), |(n, out), &i| {
             (n + self.warmth(i, s, now), out + f64::from(self.slots[i].inflight))
         })
@@ -538,8 +563,10 @@
 
     /// What part of its full capacity an upstream has now, for sure.
     fn warmth(&self, i: usize, s: &Settings, now: Millis) -> f64 {
-        let age = now - self.slots[i].member.since;
-        if self.slots[i].member.since <= 0.0 || age >= s.ramp_time {
+        let m = &self.slots[i].member;
+        let since = self.restored.get(&m.id).map_or(m.since, |&at| at.max(m.since));
+        let age = now - since;
+        if since <= 0.0 || age >= s.ramp_time {
             return 1.0;
         }
         (s.cold_from + (1.0 - s.cold_from) * age.max(0.0) / s.ramp_time).min(1.0)
@@ -978,6 +1005,17 @@
         }
     }
 
+    /// How many upstreams are listed, and how many of them calls avoid now, by hand or by choice.
+    pub fn upstreams(&self, now: Millis) -> (usize, usize) {
+        let f = &self.fleet;
+        let listed = f.by_id.values().filter(|&&i| f.slots[i].member.availability != Availability::Gone);
+        listed.fold((0, 0), |(n, avoided), &i| {
+            let u = &f.slots[i];
+            let chosen = now < u.ejected_until || f.silent(i, now) || f.crowded(i, &self.settings, now);
+            (n + 1, avoided + usize::from(chosen || f.suspended.contains(&u.member.id)))
+        })
+    }
+
     // --- The event handler ------------------------------------------------------------------------
 
     /// Takes one event and appends what is to be done. `now` must not go back.
@@ -1024,6 +1062,15 @@
                     }
                 }
             }
+            Event::Suspend(id) => {
+                self.fleet.suspended.insert(id);
+                self.fleet.choose_subset(&self.settings);
+                self.note_taking(now);
+            }
+            Event::Restore { upstream, since } => {
+                self.fleet.restore(upstream, since, &self.settings, now, &mut self.rng);
+                self.note_taking(now);
+            }
             Event::Timer(TIMER_CYCLE) => {
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A world for one balancer: it answers what the balancer sends and checks the rules on its own account.
 #![allow(dead_code)] // each test file uses its own part
 use oakflow::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub fn member(id: u64) -> Member {
     Member {
@@ -40,6 +40,7 @@
     pub settings: Settings,
     pub now: f64,
     pub listed: BTreeMap<UpstreamId, Member>,
+    pub suspended: BTreeSet<UpstreamId>,
     pub seen: BTreeMap<RequestId, Seen>,
     pub timers: Vec<(f64, u32)>,
     pub log: Vec<Action>,
@@ -64,6 +65,7 @@
             settings,
             now: 0.0,
             listed: BTreeMap::new(),
+            suspended: BTreeSet::new(),
             seen: BTreeMap::new(),
             timers: Vec::new(),
             log: Vec::new(),
@@ -86,6 +88,16 @@
         self.event(Event::Membership(news));
     }
 
+    pub fn suspend(&mut self, id: u64) {
+        self.suspended.insert(UpstreamId(id));
+        self.event(Event::Suspend(UpstreamId(id)));
+    }
+
+    pub fn restore(&mut self, id: u64) {
+        self.suspended.remove(&UpstreamId(id));
+        self.event(Event::Restore { upstream: UpstreamId(id), since: self.now });
+    }
+
     pub fn request(&mut self, id: u32, class: usize, tenant: usize) -> Vec<Action> {
         let deadline = self.now + self.settings.classes[class].deadline;
         let id = RequestId(id);
@@ -218,6 +230,10 @@
             Action::Send { request, upstream, timeout } => {
                 let m = &self.listed[upstream];
                 assert_eq!(m.availability, Availability::Ready, "{request:?} sent to {m:?}");
+                assert!(
+                    !self.suspended.contains(upstream),
+                    "{request:?} sent to {m:?}, which staff left out"
+                );
                 let s = &self.seen[request];
                 let c = &self.settings.classes[s.class];
                 assert!(
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -55,6 +55,12 @@
             }
             1 if id.is_multiple_of(7) => world.list(Membership::Full((1..7).map(zoned).collect())),
             2 if world.settings.ask_for_list => world.list(Membership::Failed),
+            3 if id.is_multiple_of(8) => world.suspend(1 + u64::from(rng.next_u32() % 12)),
+            4 | 5 => {
+                if let Some(UpstreamId(id)) = world.suspended.first().copied() {
+                    world.restore(id);
+                }
+            }
             _ => {}
         }
         world.request(id, rng.next_u32() as usize % 8, rng.next_u32() as usize % 5);
@@ -222,6 +228,41 @@
     assert!(matches!(world.request(99, 0, 0)[..], [Action::Refuse { .. }]), "what a full list lacks is gone");
 }
 
+/// Staff take a machine out: the list may drop it, name it again or call it ready, and it still gets nothing.
+#[test]
+fn a_suspended_upstream_gets_nothing_until_it_is_restored_whatever_the_list_says() {
+    let mut world = World::new(Settings::default(), 1, (1..4).map(member).collect());
+    let sent = |world: &mut World, from: u32| {
+        let start = world.now;
+        for id in from..from + 50 {
+            world.request(id, 0, 0);
+            world.outcome(id, 0, Ending::Ok);
+            world.pass(100.0);
+        }
+        world.sent_since(start).1.get(&UpstreamId(1)).copied().unwrap_or(0)
+    };
+    assert!(sent(&mut world, 0) > 0, "it is in use before");
+    world.suspend(1);
+    world.suspend(1);
+    assert_eq!((sent(&mut world, 100), world.balancer.upstreams(world.now)), (0, (3, 1)));
+    world.list(Membership::Full((2..4).map(member).collect()));
+    assert_eq!(world.balancer.upstreams(world.now), (2, 0), "what is not listed is not counted");
+    world.list(Membership::Delta(vec![Member { since: world.now, ..member(1) }]));
+    assert_eq!(sent(&mut world, 200), 0, "gone and back");
+    world.list(Membership::Full((1..4).map(member).collect()));
+    assert_eq!(sent(&mut world, 300), 0, "a whole new list");
+    world.restore(1);
+    assert_eq!(world.balancer.upstreams(world.now), (3, 0));
+    assert!(sent(&mut world, 400) > 0, "one call back undoes both");
+}
+
+#[test]
+fn where_all_upstreams_are_suspended_calls_are_refused_at_once() {
+    let mut world = World::new(Settings::default(), 1, (1..4).map(member).collect());
+    (1..4).for_each(|id| world.suspend(id));
+    assert!(matches!(world.request(1, 0, 0)[..], [Action::Refuse { .. }]));
+}
+
 #[test]
 fn no_ready_upstream_is_a_refusal_at_once() {
     let mut world = World::new(Settings::default(), 1, Vec::new());
@@ -306,6 +347,19 @@
 /// Hundreds of balancers see one upstream restart; together they must stay under the tipping point.
 #[test]
 fn a_cold_upstream_is_not_pushed_over_by_all_together() {
+    stays_under_the_tipping_point(|w| w.list(Membership::Delta(vec![Member { since: w.now, ..member(1) }])));
+}
+
+/// The same where staff took it out and back and the list does not tell that it was restarted meanwhile.
+#[test]
+fn a_restored_upstream_is_cold_before_the_list_says_so() {
+    stays_under_the_tipping_point(|w| {
+        w.suspend(1);
+        w.restore(1);
+    });
+}
+
+fn stays_under_the_tipping_point(restart: impl Fn(&mut World)) {
     const COPIES: u32 = 200;
     let settings = |index| Settings {
         index,
@@ -323,7 +377,7 @@
         // Two calls a second and copy, answered after 50 ms; the upstream restarts after ten seconds.
         for (i, w) in worlds.iter_mut().enumerate() {
             if step == 100 {
-                w.list(Membership::Delta(vec![Member { since: w.now, ..member(1) }]));
+                restart(w);
             }
             if (step + i).is_multiple_of(5) {
                 id += 1;
