Open a door for operators: status, figures, suspensions and pauses

The door takes one line a connection, 16 callers at most, and hands calls on: a suspension to the module, with kept connections closed; a pause to the callers' side, where answers close their connections and those at rest are closed while nothing unread is on them.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -15,6 +15,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    ops: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -35,6 +36,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call; none: nowhere.
+    pub ops: Option<SocketAddr>,
     /// Feeds the module's random choices.
     pub seed: u64,
     /// Most file descriptors the process may hold.
@@ -74,8 +77,8 @@
             Some(known) => Some(Listing::parse(known.as_bytes(), &names).map_err(|e| format!("known: {e}"))?),
             None => None,
         };
-        let (name, listen, discovery) = (file.name, file.listen, file.discovery);
-        Ok(Config { name, listen, discovery, seed, sockets, known, deployment })
+        let File { name, listen, discovery, ops, .. } = file;
+        Ok(Config { name, listen, discovery, ops, seed, sockets, known, deployment })
     }
 }
 
@@ -106,6 +109,7 @@
         assert!(error("\"seed\":\"8c1f30d27a5be964\",", "").contains("seed"));
         assert!(error("8c1f30d27a5be964", "xyz").starts_with("seed"));
         assert!(error("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"").starts_with("listen"));
+        assert!(error("\"listen\"", "\"ops\":\"door\",\"listen\"").starts_with("ops"));
         assert!(error("\"sockets\":1024", "\"sockets\":3").starts_with("limits.sockets"));
         assert!(error("\"objective\":100", "\"objective\":\"x\"").contains("classes[0].objective"));
         assert!(error("\"name\":\"read\",", "").contains("settings.classes[0].name"));
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -132,7 +132,7 @@
 
 /// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
 /// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
-fn upstream_id(name: &str) -> UpstreamId {
+pub fn upstream_id(name: &str) -> UpstreamId {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
     UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,6 +1,6 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here.
-use crate::discovery::Listing;
+use crate::discovery::{upstream_id, Listing};
 use crate::upstream::{Transport, Upstream};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -294,6 +294,47 @@
         self.feed(Event::Membership(news));
     }
 
+    /// Whether an upstream of this name is listed or left out by staff.
+    pub fn knows(&self, name: &str) -> bool {
+        let (d, id) = (self.0.driver.borrow(), upstream_id(name));
+        d.balancer.suspends(id) || d.upstreams.get(&id).is_some_and(|(_, a, _)| *a != Availability::Gone)
+    }
+
+    /// Staff leave an upstream out from now on. What is out may end; nothing more is written there.
+    pub fn suspend(&self, name: &str) {
+        let id = upstream_id(name);
+        if let Some((upstream, ..)) = self.0.driver.borrow().upstreams.get(&id) {
+            upstream.closes.set(Some(Instant::now()));
+            upstream.close_idle();
+        }
+        self.feed(Event::Suspend(id));
+    }
+
+    /// Staff use an upstream again, if they had left it out. It was restarted meanwhile.
+    pub fn restore(&self, name: &str) {
+        let id = upstream_id(name);
+        let since = {
+            let d = self.0.driver.borrow();
+            if !d.balancer.suspends(id) {
+                return;
+            }
+            if let Some((upstream, availability, _)) = d.upstreams.get(&id) {
+                upstream.replaced();
+                if *availability == Availability::Ready {
+                    upstream.closes.set(None);
+                }
+            }
+            d.now()
+        };
+        self.feed(Event::Restore { upstream: id, since });
+    }
+
+    /// How many upstreams are listed, and how many of them calls avoid now.
+    pub fn upstreams(&self) -> (usize, usize) {
+        let d = self.0.driver.borrow();
+        d.balancer.upstreams(d.now())
+    }
+
     /// A call for the list failed or the watch broke.
     pub fn list_failed(&self) {
         self.feed(Event::Membership(Membership::Failed));
@@ -520,6 +561,7 @@
             }
             (*availability, *since) = (m.availability, m.since);
             match m.availability {
+                Availability::Ready if self.balancer.suspends(m.id) => {}
                 Availability::Ready => upstream.closes.set(None),
                 Availability::Draining | Availability::Gone => close(upstream),
             }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,8 @@
 mod discovery;
 mod driver;
 mod inbound;
+mod metrics;
+mod ops;
 mod server;
 mod sockets;
 mod upstream;
@@ -12,11 +14,14 @@
 use config::Config;
 use discovery::{Discovery, Names};
 use driver::{Handle, Parts};
+use metrics::Figures;
 use oakflow::Balancer;
+use ops::Door;
 use server::{Phase, Server};
 use sockets::Sockets;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -36,7 +41,11 @@
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-    Config::parse(&text)
+    let mut config = Config::parse(&text)?;
+    if let (None, Some(ops)) = (config.ops, std::env::var("NODE_OPS").ok().filter(|ops| !ops.is_empty())) {
+        config.ops = Some(ops.parse().map_err(|e| format!("NODE_OPS: {ops:?}: {e}"))?);
+    }
+    Ok(config)
 }
 
 fn main() -> ExitCode {
@@ -55,9 +64,11 @@
 
 /// Follows the configuration: at each signal its file is read again. Only where discovery is can change while
 /// the program runs; a file that cannot be read changes nothing.
-async fn follow(mut hup: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn follow(mut hup: Signal, discovery: watch::Sender<SocketAddr>, figures: Rc<Figures>) {
     while hup.recv().await.is_some() {
-        match load() {
+        let loaded = load();
+        figures.reloaded(loaded.is_ok());
+        match loaded {
             Ok(config) => {
                 discovery
                     .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
@@ -73,14 +84,16 @@
     let hup = caught(SignalKind::hangup())?;
     let (mut term, mut int) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
-    let Config { name, listen, discovery, seed, sockets, known, deployment } = load()?;
+    let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = load()?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
-    let budget = Sockets::new(sockets);
+    let figures = Figures::new(&deployment.classes);
+    let budget = Sockets::new(sockets.saturating_sub(if ops.is_some() { ops::DESCRIPTORS } else { 0 }));
     let transport = upstream::Transport::new(
         span(deployment.dial_timeout),
         span(deployment.policy.idle_close.min(86_400_000.0)),
         budget.clone(),
+        figures.tries(),
     );
     let handle = Handle::new(Parts {
         balancer,
@@ -90,19 +103,30 @@
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
     });
+    let door = match ops {
+        Some(ops) => Some(TcpListener::bind(ops).await.map_err(|e| format!("ops: {ops}: {e}"))?),
+        None => None,
+    };
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
     let timers = handle.clone();
     let timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
     let (address_of_discovery, addresses) = watch::channel(discovery);
-    tokio::task::spawn_local(follow(hup, address_of_discovery));
+    tokio::task::spawn_local(follow(hup, address_of_discovery, figures.clone()));
     let (names, pushed) = (Names::of(&deployment), !deployment.policy.ask_for_list);
     let watcher = Discovery::new(addresses, names, pushed, known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone()));
     let (phase, phases) = watch::channel(Phase::Up);
-    let served =
-        tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
+    let phase = Rc::new(phase);
+    if let Some(listener) = door {
+        let at = listener.local_addr().map_err(|e| format!("ops: {e}"))?;
+        eprintln!("{name}: operators call at {at}");
+        let door = Door { driver: handle.clone(), figures: figures.clone(), phase: phase.clone() };
+        tokio::task::spawn_local(Rc::new(door).run(listener));
+    }
+    let server = Server::new(handle.clone(), deployment, budget, figures, phases);
+    let served = tokio::task::spawn_local(server.run(listener));
     let open = handle.clone();
     eprintln!("{name}: serving on {address}");
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,6 +1,7 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
 use crate::driver::{Answer, Handle, Outgoing, Untaken, Waiting};
 use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
+use crate::metrics::{Figures, Outcome, Taken};
 use crate::sockets::{Places, Sockets};
 use crate::upstream::{end_to_end, BODY_MOST, DEADLINE};
 use bytes::Bytes;
@@ -21,7 +22,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// A caller has this long for a request, counted from its connection or, on a kept one, from the first byte.
 const REQUEST_WAIT: Duration = Duration::from_millis(2500);
@@ -39,6 +40,8 @@
 const LINGER_MOST: usize = 1 << 20;
 /// How often a connection's waits are looked at.
 const LOOK: Duration = Duration::from_secs(1);
+/// How often connections that are to end are looked at.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// A connection that is to close, and owes no answer, has this long to take what was written.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
@@ -52,11 +55,13 @@
 const READY: &str = "/-/ready";
 const SERVICE: &str = "/api";
 
-/// How far the end of the program has come.
+/// Whether clients are welcome, and how far the end of the program has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Serving.
     Up,
+    /// Sent away by staff: those that still come are served, on connections that end with their next answer.
+    Paused,
     /// Told to end: new connections are still accepted, and kept ones go on being served.
     Leaving,
     /// No connection is accepted any more; those that there are go on being served.
@@ -65,6 +70,13 @@
     Closing,
 }
 
+impl Phase {
+    /// Whether connections end with their next answer, and those between requests are closed.
+    fn ends_connections(self) -> bool {
+        matches!(self, Phase::Paused | Phase::Closing)
+    }
+}
+
 /// A connection between requests: whether it has carried one, and its turn.
 type Place = (bool, u64);
 
@@ -73,6 +85,7 @@
     driver: Handle,
     deployment: Deployment,
     sockets: Sockets,
+    figures: Rc<Figures>,
     phase: watch::Receiver<Phase>,
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
@@ -87,10 +100,11 @@
         driver: Handle,
         deployment: Deployment,
         sockets: Sockets,
+        figures: Rc<Figures>,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Server> {
         let (idle, turn) = (RefCell::default(), Cell::new(0));
-        Rc::new(Server { driver, deployment, sockets, phase, idle, turn })
+        Rc::new(Server { driver, deployment, sockets, figures, phase, idle, turn })
     }
 
     /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
@@ -184,7 +198,7 @@
     fn welcome(&self, stream: TcpStream) -> Rc<Link> {
         let link = Rc::new(Link {
             watch: Watch::new(),
-            stream: Shared::new(stream),
+            stream: Shared::new(stream, Rc::default()),
             close: Rc::new(Notify::new()),
             place: Cell::new(None),
             refused: Cell::new(false),
@@ -210,16 +224,23 @@
         let connection = http1::Builder::new().max_buf_size(HEAD_MOST).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
-        let mut closing = false;
         loop {
             let mut crowded = false;
+            let ends = phase.borrow_and_update().ends_connections();
             tokio::select! {
                 // A caller's broken connection or garbage ends this connection only.
                 _ = connection.as_mut() => break,
                 // Nothing is owed, and half a request may be in the way of a graceful end.
                 () = link.overdue() => break,
                 () = link.close.notified() => crowded = true,
-                _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => closing = true,
+                changed = phase.changed() => match changed {
+                    Ok(()) if phase.borrow().ends_connections() => {}
+                    Ok(()) => continue,
+                    // The program is ending.
+                    Err(_) => break,
+                },
+                // One that could not be closed when its end was called, as something had come, may rest by now.
+                () = sleep(LOOK_AGAIN), if ends => {}
             }
             // What has been written whole to this connection counts as taken, also if nobody has read it yet; half
             // a head on a connection that never asked for anything does not.
@@ -254,7 +275,15 @@
             path if path == SERVICE || path.starts_with("/api/") => {
                 let due = watch.since.get() + REQUEST_WAIT;
                 match self.take(request, due).await {
-                    Ok(waiting) => final_answer(waiting.answer().await),
+                    Ok((waiting, taken)) => {
+                        let answer = waiting.answer().await;
+                        taken.ends(match answer {
+                            Answer::Served { .. } => Outcome::Ok,
+                            Answer::Refused { .. } => Outcome::Shed,
+                            Answer::Unusable(_) | Answer::Failed => Outcome::Errors,
+                        });
+                        final_answer(answer)
+                    }
                     Err(response) => response,
                 }
             }
@@ -263,7 +292,8 @@
         let refused = response.status().is_client_error();
         link.refused.set(refused);
         // At the end of the program what has been sent behind this request is still answered.
-        let leaving = *self.phase.borrow() == Phase::Closing && !watch.more() && link.stream.quiet();
+        let ends = self.phase.borrow().ends_connections();
+        let leaving = ends && !watch.more() && link.stream.quiet();
         if refused || last || leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -271,7 +301,11 @@
     }
 
     /// Reads a request whole and hands it to the driver.
-    async fn take(&self, request: Request<Incoming>, due: Instant) -> Result<Waiting, Response<Full<Bytes>>> {
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        due: Instant,
+    ) -> Result<(Waiting, Taken), Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
@@ -295,10 +329,14 @@
         let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
         let name = headers.get("req-id").cloned();
         let out = Outgoing { name, method: head.method, target, headers, body, over: Cell::new(false) };
-        self.driver.take(class, tenant, patience, out).map_err(|untaken| match untaken {
-            Untaken::Full => final_answer(Answer::Refused { retry_after: FULL_PAUSE }),
+        let waiting = self.driver.take(class, tenant, patience, out).map_err(|untaken| match untaken {
+            Untaken::Full => {
+                self.figures.ended(class, Outcome::Shed);
+                final_answer(Answer::Refused { retry_after: FULL_PAUSE })
+            }
             Untaken::Known => refuse_input(StatusCode::CONFLICT, "a request with this Req-Id is open"),
-        })
+        })?;
+        Ok((waiting, Taken::new(&self.figures, class)))
     }
 
     /// Class, tenant and patience of a request, or what is wrong with its head.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Attempts: one request to one upstream, once; and the connections that are kept for the next.
 use crate::driver::{Answer, Outgoing};
-use crate::inbound::{Shared, HEAD_MOST};
+use crate::inbound::{Shared, Written, HEAD_MOST};
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -171,13 +171,15 @@
     trial: Duration,
     /// Sockets that may still be opened.
     pub sockets: Sockets,
+    /// Counts the requests written whole.
+    tries: Rc<Cell<u64>>,
 }
 
 impl Transport {
-    /// `idle_close` is when upstreams close idle connections.
-    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets) -> Self {
+    /// `idle_close` is when upstreams close idle connections; `tries` counts the requests written whole.
+    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets, tries: Rc<Cell<u64>>) -> Self {
         let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
-        Transport { dial_timeout, idle, trial: TRIAL, sockets }
+        Transport { dial_timeout, idle, trial: TRIAL, sockets, tries }
     }
 
     async fn dial(&self, to: &Upstream, until: Instant) -> Result<Conn, Ending> {
@@ -189,7 +191,7 @@
             timeout_at(until, TcpStream::connect(to.addr.get())).await.map_err(|_| Ending::ConnectFailed)?;
         let stream = dialled.map_err(|e| if short(&e) { Ending::Moot } else { Ending::ConnectFailed })?;
         stream.set_nodelay(true).map_err(|_| Ending::ConnectFailed)?;
-        let socket = Shared::new(stream);
+        let socket = Shared::new(stream, self.tries.clone());
         let io = TokioIo::new(socket.clone());
         let made = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
         let (sender, conn) = made.map_err(|_| Ending::ConnectFailed)?;
@@ -221,7 +223,8 @@
             if to.closed(now) || now >= until || out.over.get() {
                 return (Ending::Moot, None);
             }
-            let (body, given) = Tried::new(out.body.clone(), reused.then_some(self.trial));
+            let written = conn.socket.written();
+            let body = Tried::new(out.body.clone(), reused.then_some(self.trial), written.clone());
             let Ok(mut request) = out.request(body) else { return (Ending::Moot, None) };
             let left = (until - now).as_micros();
             if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
@@ -232,7 +235,7 @@
                 Err(mut e) => {
                     // The last byte was never written. A connection that rested and had been closed meanwhile says
                     // nothing about the upstream, so the next one is tried; each is tried once.
-                    let unwritten = !given.get() || e.take_message().is_some() || conn.socket.write_failed();
+                    let unwritten = written.get() != Written::Whole || e.take_message().is_some();
                     match (unwritten, reused) {
                         (true, true) => {}
                         (true, false) => return (Ending::ConnectFailed, None),
@@ -276,15 +279,15 @@
     body: Option<Bytes>,
     /// Until when the connection is on trial.
     trial: Option<Pin<Box<Sleep>>>,
-    given: Rc<Cell<bool>>,
+    written: Rc<Cell<Written>>,
 }
 
 impl Tried {
-    /// And whether the whole request has been handed over; without a body that is so with its head.
-    fn new(body: Bytes, trial: Option<Duration>) -> (Tried, Rc<Cell<bool>>) {
-        let given = Rc::new(Cell::new(body.is_empty()));
+    /// `written` is told once the whole request has been handed over; without a body that is so with its head.
+    fn new(body: Bytes, trial: Option<Duration>, written: Rc<Cell<Written>>) -> Tried {
+        written.set(if body.is_empty() { Written::HandedOver } else { Written::Partly });
         let body = Some(body).filter(|b| !b.is_empty());
-        (Tried { body, trial: trial.map(|t| Box::pin(sleep(t))), given: given.clone() }, given)
+        Tried { body, trial: trial.map(|t| Box::pin(sleep(t))), written }
     }
 }
 
@@ -299,7 +302,7 @@
         if let Some(trial) = &mut self.trial {
             ready!(trial.as_mut().poll(cx));
         }
-        self.given.set(true);
+        self.written.set(Written::HandedOver);
         Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
     }
 
@@ -378,7 +381,7 @@
     use tokio::task::LocalSet;
 
     fn transport(sockets: Sockets) -> Transport {
-        Transport::new(Duration::from_secs(5), Duration::from_secs(60), sockets)
+        Transport::new(Duration::from_secs(5), Duration::from_secs(60), sockets, Rc::default())
     }
 
     fn alone(test: impl std::future::Future<Output = ()>) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1005,6 +1005,11 @@
         }
     }
 
+    /// Whether staff have left an upstream out.
+    pub fn suspends(&self, id: UpstreamId) -> bool {
+        self.fleet.suspended.contains(&id)
+    }
+
     /// How many upstreams are listed, and how many of them calls avoid now, by hand or by choice.
     pub fn upstreams(&self, now: Millis) -> (usize, usize) {
         let f = &self.fleet;
