Hand over to a second process on the same port without a request turned back

Seen in: the new process ended at the bind ('address in use'), and the old one's end lost what still came.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -125,6 +125,7 @@
     driver: RefCell<Driver>,
     timers: Notify,
     subscribe: Notify,
+    told: Notify,
 }
 
 /// The driver as everything else sees it.
@@ -199,7 +200,12 @@
             events: VecDeque::new(),
             listed: false,
         };
-        let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
+        let shared = Shared {
+            driver: RefCell::new(driver),
+            timers: Notify::new(),
+            subscribe: Notify::new(),
+            told: Notify::new(),
+        };
         Handle(Rc::new(shared))
     }
 
@@ -277,6 +283,11 @@
         self.0.subscribe.notified().await;
     }
 
+    /// Waits until discovery has answered.
+    pub async fn told(&self) {
+        self.0.told.notified().await;
+    }
+
     /// Takes the saved list.
     pub fn cached(&self, listing: Option<&Listing>) {
         let members = listing.iter().flat_map(|l| l.members()).collect();
@@ -292,6 +303,7 @@
         let members = listing.members().collect();
         let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
         self.feed(Event::Membership(news));
+        self.0.told.notify_one();
     }
 
     /// Whether an upstream of this name is listed or left out by staff.
@@ -310,22 +322,15 @@
         self.feed(Event::Suspend(id));
     }
 
-    /// Staff use an upstream again, if they had left it out. It was restarted meanwhile.
-    pub fn restore(&self, name: &str) {
+    /// Staff use an upstream again, since then. It was restarted while it was left out.
+    pub fn restore(&self, name: &str, since: Millis) {
         let id = upstream_id(name);
-        let since = {
-            let d = self.0.driver.borrow();
-            if !d.balancer.suspends(id) {
-                return;
+        if let Some((upstream, availability, _)) = self.0.driver.borrow().upstreams.get(&id) {
+            upstream.replaced();
+            if *availability == Availability::Ready {
+                upstream.closes.set(None);
             }
-            if let Some((upstream, availability, _)) = d.upstreams.get(&id) {
-                upstream.replaced();
-                if *availability == Availability::Ready {
-                    upstream.closes.set(None);
-                }
-            }
-            d.now()
-        };
+        }
         self.feed(Event::Restore { upstream: id, since });
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod inbound;
 mod metrics;
 mod ops;
+mod orders;
 mod server;
 mod sockets;
 mod upstream;
@@ -17,17 +18,22 @@
 use metrics::Figures;
 use oakflow::Balancer;
 use ops::Door;
+use orders::Store;
 use server::{Phase, Server};
 use sockets::Sockets;
+use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// Kept connections are served for this long after SIGTERM. Guards against callers that find no other balancer:
@@ -78,6 +84,17 @@
     }
 }
 
+/// A listener for callers. Where there is an operators' door, another process of this balancer may listen there too.
+fn listen_at(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn run() -> Result<(), String> {
     // Before anything else: a signal that is not caught ends the program.
     let caught = |kind| signal(kind).map_err(|e| e.to_string());
@@ -103,12 +120,6 @@
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
     });
-    let door = match ops {
-        Some(ops) => Some(TcpListener::bind(ops).await.map_err(|e| format!("ops: {ops}: {e}"))?),
-        None => None,
-    };
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
-    let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
     let timers = handle.clone();
     let timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
@@ -117,17 +128,33 @@
     let (names, pushed) = (Names::of(&deployment), !deployment.policy.ask_for_list);
     let watcher = Discovery::new(addresses, names, pushed, known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone()));
-    let (phase, phases) = watch::channel(Phase::Up);
+    let (phase, phases) = watch::channel(Phase::Starting);
     let phase = Rc::new(phase);
-    if let Some(listener) = door {
-        let at = listener.local_addr().map_err(|e| format!("ops: {e}"))?;
-        eprintln!("{name}: operators call at {at}");
-        let door = Door { driver: handle.clone(), figures: figures.clone(), phase: phase.clone() };
-        tokio::task::spawn_local(Rc::new(door).run(listener));
-    }
+    let door = match ops {
+        Some(ops) => {
+            let failed = |e: io::Error| format!("ops: {ops}: {e}");
+            let listener = TcpListener::bind(ops).await.map_err(failed)?;
+            eprintln!("{name}: operators call at {}", listener.local_addr().map_err(failed)?);
+            let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
+            let (phase, cold) = (phase.clone(), deployment.policy.ramp_time);
+            let (driver, sockets) = (handle.clone(), budget.clone());
+            let door = Door::new(driver, figures.clone(), sockets, phase, Store::new(folder), cold);
+            tokio::task::spawn_local(door.clone().run(listener));
+            door.prepare().await;
+            Some(door)
+        }
+        None => None,
+    };
+    let failed = |e: io::Error| format!("listen: {listen}: {e}");
+    let listener = listen_at(listen, door.is_some()).map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
     let server = Server::new(handle.clone(), deployment, budget, figures, phases);
     let served = tokio::task::spawn_local(server.run(listener));
     let open = handle.clone();
+    match &door {
+        Some(door) => door.serve().await,
+        None => drop(phase.send_replace(Phase::Up)),
+    }
     eprintln!("{name}: serving on {address}");
 
     tokio::select! {
@@ -139,13 +166,23 @@
     eprintln!("{name}: told to end");
     let told = Instant::now();
     handle.ends_by(LAST_ANSWER);
-    for (after, next) in [
-        (Duration::ZERO, Phase::Leaving),
-        (STILL_ACCEPTING, Phase::Draining),
-        (STILL_SERVING, Phase::Closing),
-    ] {
-        tokio::time::sleep_until(told + after).await;
-        phase.send_replace(next);
+    let succeeded = match &door {
+        Some(door) => door.succeeded().await,
+        None => false,
+    };
+    if succeeded {
+        // Staff that sent clients away mean this process too.
+        let paused = *phase.borrow() == Phase::Paused;
+        phase.send_replace(if paused { Phase::Closing } else { Phase::Succeeded });
+    } else {
+        for (after, next) in [
+            (Duration::ZERO, Phase::Leaving),
+            (STILL_ACCEPTING, Phase::Draining),
+            (STILL_SERVING, Phase::Closing),
+        ] {
+            tokio::time::sleep_until(told + after).await;
+            phase.send_replace(next);
+        }
     }
     let served = async move {
         tokio::pin!(served);
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -40,8 +40,9 @@
 const LINGER_MOST: usize = 1 << 20;
 /// How often a connection's waits are looked at.
 const LOOK: Duration = Duration::from_secs(1);
-/// How often connections that are to end are looked at.
-const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// A connection that is to end is closed once it has rested for this long, and is looked at as often: one that rests
+/// for less has its next request on the way, whose answer ends it, where a close would cross that request.
+const RESTS: Duration = Duration::from_millis(100);
 /// A connection that is to close, and owes no answer, has this long to take what was written.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
@@ -58,6 +59,8 @@
 /// Whether clients are welcome, and how far the end of the program has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
+    /// Not yet serving.
+    Starting,
     /// Serving.
     Up,
     /// Sent away by staff: those that still come are served, on connections that end with their next answer.
@@ -66,6 +69,9 @@
     Leaving,
     /// No connection is accepted any more; those that there are go on being served.
     Draining,
+    /// Told to end while another process of this balancer serves: no connection is accepted any more, and those
+    /// that there are end with their next answer, so that callers go over.
+    Succeeded,
     /// Connections end with their next answer, and those between requests are closed.
     Closing,
 }
@@ -73,7 +79,7 @@
 impl Phase {
     /// Whether connections end with their next answer, and those between requests are closed.
     fn ends_connections(self) -> bool {
-        matches!(self, Phase::Paused | Phase::Closing)
+        matches!(self, Phase::Paused | Phase::Succeeded | Phase::Closing)
     }
 }
 
@@ -90,6 +96,8 @@
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
     idle: RefCell<BTreeMap<Place, (Instant, Rc<Notify>)>>,
+    /// Whether connections are accepted.
+    listening: Cell<bool>,
     /// Orders the connections by when they last fell idle.
     turn: Cell<u64>,
 }
@@ -103,8 +111,15 @@
         figures: Rc<Figures>,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Server> {
-        let (idle, turn) = (RefCell::default(), Cell::new(0));
-        Rc::new(Server { driver, deployment, sockets, figures, phase, idle, turn })
+        let (idle, turn, listening) = (RefCell::default(), Cell::new(0), Cell::new(true));
+        Rc::new(Server { driver, deployment, sockets, figures, phase, idle, listening, turn })
+    }
+
+    /// Whether connections end now. With a successor not before the listener is closed: those that come again because
+    /// theirs ended would wait in its queue at that very moment.
+    fn ends(&self) -> bool {
+        let phase = *self.phase.borrow();
+        phase.ends_connections() && !(phase == Phase::Succeeded && self.listening.get())
     }
 
     /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
@@ -174,11 +189,7 @@
                 Ok((stream, _)) => {
                     failing = false;
                     let Some(places) = self.room().await else { break };
-                    // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
-                    if stream.set_nodelay(true).is_ok() {
-                        let link = self.welcome(stream);
-                        tokio::task::spawn_local(self.clone().connection(link, places));
-                    }
+                    self.clone().begin(stream, places);
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
@@ -190,10 +201,31 @@
                 }
             }
         }
-        drop(listener);
+        self.empty(listener).await;
+        self.listening.set(false);
         self.sockets.callers_left().await;
     }
 
+    /// Closes the listener with nobody left in its queue. Asks the system: the runtime learns of new connections only
+    /// when it next waits.
+    async fn empty(self: &Rc<Server>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        // Fails once nobody waits.
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            let (Ok(stream), Some(places)) = (stream, self.room().await) else { continue };
+            self.clone().begin(stream, places);
+        }
+    }
+
+    fn begin(self: Rc<Server>, stream: TcpStream, places: Places) {
+        // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
+        if stream.set_nodelay(true).is_ok() {
+            let link = self.welcome(stream);
+            tokio::task::spawn_local(self.connection(link, places));
+        }
+    }
+
     /// Notes a new connection, at once, so that it is the one to make way and not an older one in use.
     fn welcome(&self, stream: TcpStream) -> Rc<Link> {
         let link = Rc::new(Link {
@@ -233,14 +265,11 @@
                 // Nothing is owed, and half a request may be in the way of a graceful end.
                 () = link.overdue() => break,
                 () = link.close.notified() => crowded = true,
-                changed = phase.changed() => match changed {
-                    Ok(()) if phase.borrow().ends_connections() => {}
-                    Ok(()) => continue,
+                changed = phase.changed() => if changed.is_err() {
                     // The program is ending.
-                    Err(_) => break,
+                    break;
                 },
-                // One that could not be closed when its end was called, as something had come, may rest by now.
-                () = sleep(LOOK_AGAIN), if ends => {}
+                () = sleep(RESTS), if ends => {}
             }
             // What has been written whole to this connection counts as taken, also if nobody has read it yet; half
             // a head on a connection that never asked for anything does not.
@@ -248,7 +277,8 @@
             if crowded && half && link.watch.given.get() == 0 {
                 break;
             }
-            if link.place.get().is_some() && !half && stream.quiet() {
+            let ends = crowded || self.ends() && link.watch.since.get().elapsed() >= RESTS;
+            if ends && link.place.get().is_some() && !half && stream.quiet() {
                 connection.as_mut().graceful_shutdown();
                 // Guards against callers that never read their answer: no hold on us.
                 let _ = timeout(FLUSH_WAIT, connection.as_mut()).await;
@@ -270,7 +300,10 @@
         let last = ambiguous || request.headers().contains_key(header::TRANSFER_ENCODING);
         let mut response = match request.uri().path() {
             _ if ambiguous => refuse_input(StatusCode::BAD_REQUEST, "the length is stated in two ways"),
-            READY if self.driver.ready() && *self.phase.borrow() == Phase::Up => plain(StatusCode::OK),
+            // One that has a successor answers for it.
+            READY if self.driver.ready() && matches!(*self.phase.borrow(), Phase::Up | Phase::Succeeded) => {
+                plain(StatusCode::OK)
+            }
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => {
                 let due = watch.since.get() + REQUEST_WAIT;
@@ -292,8 +325,7 @@
         let refused = response.status().is_client_error();
         link.refused.set(refused);
         // At the end of the program what has been sent behind this request is still answered.
-        let ends = self.phase.borrow().ends_connections();
-        let leaving = ends && !watch.more() && link.stream.quiet();
+        let leaving = self.ends() && !watch.more() && link.stream.quiet();
         if refused || last || leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -1,4 +1,6 @@
 //! The one budget of sockets that callers and upstreams share.
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -10,7 +12,10 @@
 pub struct Sockets {
     all: Arc<Semaphore>,
     callers: Arc<Semaphore>,
+    budget: u32,
     callers_most: u32,
+    /// What is left to another process of this balancer.
+    left: Rc<RefCell<Vec<OwnedSemaphorePermit>>>,
 }
 
 /// A caller's place in the budget, given back when dropped.
@@ -26,7 +31,22 @@
         let budget = u32::try_from(descriptors.saturating_sub(SPARE)).unwrap_or(u32::MAX).min(1 << 20);
         let callers_most = budget / 4 * 3;
         let places = |n: u32| Arc::new(Semaphore::new(n as usize));
-        Sockets { all: places(budget), callers: places(callers_most), callers_most }
+        let (all, callers) = (places(budget), places(callers_most));
+        Sockets { all, callers, budget, callers_most, left: Rc::default() }
+    }
+
+    /// Leaves half to another process of this balancer, as descriptors of both count together: at once what is
+    /// free, and the rest when it gets free.
+    pub async fn halve(&self) {
+        let callers = self.callers.clone().acquire_many_owned(self.callers_most / 2).await;
+        let all = self.all.clone().acquire_many_owned(self.budget / 2).await;
+        // Neither is ever closed.
+        self.left.borrow_mut().extend([callers, all].into_iter().flatten());
+    }
+
+    /// The other process has ended: all of it again.
+    pub fn whole(&self) {
+        self.left.borrow_mut().clear();
     }
 
     /// A place for a caller, if there is one now.
@@ -53,6 +73,33 @@
 
     /// Waits until no caller is connected.
     pub async fn callers_left(&self) {
+        self.whole();
         let _all = self.callers.acquire_many(self.callers_most).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against two processes that together hold more descriptors than one may.
+    #[tokio::test]
+    async fn half_of_the_budget_is_left_to_another_process_for_as_long_as_it_runs() {
+        let sockets = Sockets::new(SPARE + 40);
+        let full = |sockets: &Sockets| std::iter::from_fn(|| sockets.caller()).collect::<Vec<_>>();
+        assert_eq!(full(&sockets).len(), 30);
+        sockets.halve().await;
+        let callers = full(&sockets);
+        assert_eq!(callers.len(), 15);
+        assert_eq!(std::iter::from_fn(|| sockets.upstream()).collect::<Vec<_>>().len(), 5);
+        sockets.whole();
+        // What is taken when the other process starts is left to it as it gets free.
+        let further = full(&sockets);
+        assert_eq!(further.len(), 15);
+        let mut halves = std::pin::pin!(sockets.halve());
+        assert!(tokio::time::timeout(std::time::Duration::ZERO, &mut halves).await.is_err());
+        drop(callers);
+        halves.await;
+        assert!(sockets.caller().is_none());
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -284,6 +285,14 @@
     )
 }
 
+/// An empty folder for the orders of one balancer.
+pub fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
 /// The same configuration with a door for operators.
 pub fn door(config: &str) -> String {
     config.replacen("\"listen\"", "\"ops\":\"127.0.0.1:0\",\"listen\"", 1)
@@ -308,7 +317,7 @@
 pub struct Node {
     child: Child,
     /// Its configuration's file.
-    pub file: std::path::PathBuf,
+    pub file: PathBuf,
     pub addr: SocketAddr,
     /// Where operators call, if it says so.
     pub ops: Option<SocketAddr>,
@@ -334,7 +343,7 @@
 fn prepared(config: &str, mut command: Command) -> Command {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("node-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("writes the configuration");
     command.env("NODE_CONFIG", path).stdout(Stdio::null()).stderr(Stdio::piped());
     command
@@ -388,6 +397,23 @@
         Node::run(command(&door(&config)), discovery)
     }
 
+    /// A balancer with a door that keeps orders in this folder, and listens where another one does, if any. Its
+    /// discovery has told it of these upstreams.
+    pub fn in_folder(folder: &Path, beside: Option<&Node>, upstreams: &[SocketAddr]) -> Node {
+        let servers: Vec<_> = upstreams.iter().enumerate().map(|(n, &a)| (n, a, "active")).collect();
+        let discovery = Discovery::start();
+        let listing = listing(1, true, &servers);
+        discovery.answer(&listing);
+        let mut config = door(&config(discovery.addr, 1024, &listing));
+        if let Some(beside) = beside {
+            let address = format!("\"listen\":\"{}\"", beside.addr);
+            config = config.replacen("\"listen\":\"127.0.0.1:0\"", &address, 1);
+        }
+        let mut command = command(&config);
+        command.env("TMPDIR", folder);
+        Node::run(command, discovery)
+    }
+
     /// A connection to the operators' door.
     pub fn caller(&self) -> BufReader<TcpStream> {
         caller(self.ops.expect("a door"))
@@ -480,6 +506,12 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn to(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("connects");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client(BufReader::new(stream))
+    }
+
     pub fn send(&mut self, text: &str) {
         // A connection that was closed shows in the answer.
         let _ = self.0.get_mut().write_all(text.as_bytes());
