--- a/src/policy.rs
+++ b/src/policy.rs
@@ -359,7 +359,7 @@
 #[derive(Default)]
 struct Upstream {
     member: Member,
-    /// Calls in flight, and those of them that it owes nothing for now: they are still coming, or being answered.
+    /// Calls in flight, and those that it owes nothing for now: they are still coming, or being answered.
     inflight: u32,
     unowed: u32,
     last_used: Millis,
