Let the larger group of resting connections make way for a new one at once

With all places taken, Server::room waited 11 ms for most new connections: 'room after 2 11.05 ms new 0 kept 253 oldest 1.9 s'. None of the kept ones had rested for 2 s, the newcomer accepted last was younger than 5 ms, so that close_one chose none and the pause of 10 ms passed. That takes 90 callers a second of 115, and the rest queues for up to 6 s. The new test is a table of the choice; its first row fails without the change.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -29,7 +29,7 @@
 const IDLE_WAIT: Duration = Duration::from_secs(10);
 /// A connection that has asked for nothing yet makes way for new ones after this long.
 const NEWCOMER: Duration = Duration::from_millis(30);
-/// Or, while none that was used has rested for [`RESTED`], after this long.
+/// Or, while none that was used has rested for [`RESTED`] and these are not the most, after this long.
 const NEWCOMER_LEAST: Duration = Duration::from_millis(5);
 /// A connection that was used makes way before young newcomers after this long.
 const RESTED: Duration = Duration::from_secs(2);
@@ -138,19 +138,15 @@
 
     /// Closes a connection between requests, if there is one. Guards against silent callers by the hundred that
     /// would shut out those that ask: they go first, once what they may have sent had time to be read. And against
-    /// waiting for that time while connections rest that nobody has used for long.
+    /// waiting for that time while connections rest that nobody has used for long, or that are most of all there are.
     fn close_one(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let first =
-            |used| idle.range((used, 0)..=(used, u64::MAX)).next().map(|(&n, at)| (n, at.0.elapsed()));
-        let (newcomer, kept) = (first(false), first(true));
-        let chosen = match (newcomer, kept) {
-            (Some((n, age)), _) if age >= NEWCOMER => n,
-            (_, Some((n, rested))) if rested >= RESTED => n,
-            (Some((n, age)), _) if age >= NEWCOMER_LEAST => n,
-            (None, Some((n, _))) => n,
-            _ => return false,
+        let all = |used| idle.range((used, 0)..=(used, u64::MAX));
+        let age = |used| all(used).next().map(|(_, (since, _))| since.elapsed());
+        let Some(used) = makes_way(age(false), age(true), all(true).count() > all(false).count()) else {
+            return false;
         };
+        let Some((&chosen, _)) = all(used).next() else { return false };
         idle.remove(&chosen).is_some_and(|(_, close)| {
             close.notify_one();
             true
@@ -455,6 +451,17 @@
     }
 }
 
+/// Which of two connections makes way for a new one: the eldest newcomer or (`true`) the one in use that rested
+/// longest, by their ages.
+fn makes_way(newcomer: Option<Duration>, kept: Option<Duration>, more_kept: bool) -> Option<bool> {
+    match (newcomer, kept) {
+        (Some(age), _) if age >= NEWCOMER => Some(false),
+        (_, Some(rested)) if rested >= RESTED || more_kept => Some(true),
+        (Some(age), _) if age >= NEWCOMER_LEAST => Some(false),
+        _ => None,
+    }
+}
+
 /// Reads what still comes, to throw it away.
 async fn drain(stream: &mut Shared) {
     let mut most = LINGER_MOST;
@@ -540,6 +547,26 @@
 mod tests {
     use super::*;
 
+    /// Guards against a queue that grows: where callers that asked once and stay take most places, a young newcomer
+    /// holds nobody up until it has aged.
+    #[test]
+    fn of_the_connections_that_rest_the_larger_group_makes_way() {
+        let ms = |ms| Some(Duration::from_millis(ms));
+        for (newcomer, kept, more_kept, wanted) in [
+            (ms(1), ms(1900), true, Some(true)),
+            (None, ms(1), true, Some(true)),
+            (ms(1), ms(1900), false, None),
+            (ms(6), ms(1900), false, Some(false)),
+            (ms(40), ms(1900), true, Some(false)),
+            (ms(40), ms(9000), true, Some(false)),
+            (ms(1), ms(2100), false, Some(true)),
+            (None, None, false, None),
+        ] {
+            let chosen = makes_way(newcomer, kept, more_kept);
+            assert_eq!(chosen, wanted, "{newcomer:?} {kept:?} {more_kept}");
+        }
+    }
+
     #[test]
     fn spans_have_a_number_and_a_unit() {
         assert_eq!(span("480m"), Some(480.0));
