--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -80,6 +80,8 @@
     deadline: Millis,
     sends: u32,
     running: u32,
+    /// Whether its answer is being passed on.
+    answering: bool,
 }
 
 impl Open {
@@ -285,6 +287,12 @@
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
     }
 
+    /// Requests that have come whole and have not ended: they wait for an answer, or it is being passed on.
+    pub fn active(&self) -> usize {
+        let d = self.0.driver.borrow();
+        d.open.values().filter(|o| o.deadline.is_finite() && (o.reply.is_some() || o.answering)).count()
+    }
+
     /// Requests that are taken from now on have their answer after this time at the latest.
     pub fn ends_by(&self, time: Duration) {
         let mut d = self.0.driver.borrow_mut();
@@ -411,8 +419,15 @@
                     f64::INFINITY
                 }
             };
-            let open =
-                Open { reply: Some(reply), out: Rc::new(out), patience, deadline, sends: 0, running: 0 };
+            let open = Open {
+                reply: Some(reply),
+                out: Rc::new(out),
+                patience,
+                deadline,
+                sends: 0,
+                running: 0,
+                answering: false,
+            };
             d.open.insert(id, open);
             (id, deadline)
         };
@@ -452,9 +467,9 @@
             if let Some(due) = attempt.due.take() {
                 d.timers.remove(&due);
             }
-            if let Some(reply) = d.open.get_mut(&id).and_then(Open::end) {
+            if let Some((reply, open)) = d.open.get_mut(&id).and_then(|o| Some((o.end()?, o))) {
                 // A client that left in the same instant gets nothing; it is no longer owed anything.
-                let _ = reply.send(answer);
+                open.answering = reply.send(answer).is_ok();
             }
         }
         self.feed(Event::Streaming { request: id, attempt: number });
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -205,7 +205,7 @@
     async fn caller(self: Rc<Door>, mut stream: TcpStream) {
         let answer = match timeout(WAIT, line(&mut stream)).await {
             Ok(Ok(Some(line))) if line.trim() == "METRICS" => {
-                format!("{}END\n", self.figures.text(self.driver.upstreams()))
+                format!("{}END\n", self.figures.text(self.driver.active(), self.driver.upstreams()))
             }
             Ok(Ok(Some(line))) => worded(self.call(&line).await),
             Ok(Ok(None)) => worded(Err("a call is one line of text of at most 512 bytes".into())),
