Leave newcomers 2 s to ask and answers under way until the end at a handover

The program ended itself 3.65 s after SIGTERM, which makes such answers its own loss; now they go on until it is killed, 30 s at most. A newcomer was closed after 100 ms; now after the 2 s that callers are promised.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -282,11 +282,6 @@
         self.0.driver.borrow().listed
     }
 
-    /// Requests that have no final answer yet.
-    pub fn open(&self) -> usize {
-        self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
-    }
-
     /// Requests that have come whole and have not ended: they wait for an answer, or it is being passed on.
     pub fn active(&self) -> usize {
         let d = self.0.driver.borrow();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -42,8 +42,12 @@
 const STILL_SERVING: Duration = Duration::from_millis(2400);
 /// What is open then, or taken after SIGTERM, is answered by then: SIGKILL comes 3.7 s after it at the soonest.
 const LAST_ANSWER: Duration = Duration::from_millis(3500);
-/// And the program ends by then.
+/// And the program ends by then, but for answers that are being passed on: those it would cut off itself.
 const LAST: Duration = Duration::from_millis(3650);
+/// How often it is looked at whether anything is still being passed on.
+const LOOK: Duration = Duration::from_millis(100);
+/// Whoever does not kill it by then gets no more of them.
+const LAST_PASSED_ON: Duration = Duration::from_secs(30);
 
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
@@ -193,8 +197,17 @@
         }
         served.await
     };
-    if tokio::time::timeout_at(told + LAST, served).await.is_err() {
-        eprintln!("{name}: callers are still connected at the end, {} requests unanswered", open.open());
+    tokio::pin!(served);
+    let mut until = told + LAST;
+    while tokio::time::timeout_at(until, &mut served).await.is_err() {
+        if open.active() == 0 || until >= told + LAST_PASSED_ON {
+            eprintln!("{name}: callers are still connected at the end, {} answers cut off", open.active());
+            break;
+        }
+        if until == told + LAST {
+            eprintln!("{name}: {} answers are still being passed on", open.active());
+        }
+        until += LOOK;
     }
     Ok(())
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -42,6 +42,9 @@
 /// A connection that is to end is closed once it has rested for this long, and is looked at as often: one that rests
 /// for less has its next request on the way, whose answer ends it, where a close would cross that request.
 const RESTS: Duration = Duration::from_millis(100);
+/// And for as long as callers are promised if it has asked for nothing yet: its caller came for a request, and may
+/// write slowly.
+const RESTS_NEW: Duration = Duration::from_secs(2);
 /// A connection that is to close, and owes no answer, has this long to take what was written.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
@@ -267,7 +270,8 @@
                 if crowded && half && link.watch.given.get() == 0 {
                     break;
                 }
-                let ends = crowded || self.ends() && link.watch.since.get().elapsed() >= RESTS;
+                let rests = if link.watch.given.get() == 0 { RESTS_NEW } else { RESTS };
+                let ends = crowded || self.ends() && link.watch.since.get().elapsed() >= rests;
                 if ends && link.place.get().is_some() && !half && stream.quiet() {
                     connection.as_mut().graceful_shutdown();
                     // Guards against callers that never read their answer: no hold on us.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -66,6 +66,8 @@
     Wait,
     /// Waits for a word on the channel, then answers.
     Hold(Receiver<()>, String),
+    /// Writes this, waits for a word on the channel, then writes the rest.
+    Begin(String, Receiver<()>, String),
 }
 
 pub fn ok(body: &str) -> Then {
@@ -143,6 +145,11 @@
             }
             Then::Hang => break,
             Then::Wait => {}
+            Then::Begin(head, word, rest) => {
+                let _ = stream.get_mut().write_all(head.as_bytes());
+                let _ = word.recv_timeout(PATIENCE);
+                let _ = stream.get_mut().write_all(rest.as_bytes());
+            }
             Then::Hold(word, text) => {
                 let _ = word.recv_timeout(PATIENCE);
                 let _ = stream.get_mut().write_all(text.as_bytes());
--- a/node/tests/upgrades.rs
+++ b/node/tests/upgrades.rs
@@ -109,6 +109,30 @@
     assert!(old.wait().success());
 }
 
+/// The program would cut an answer off itself if it ended by its time; that is left to whoever kills it.
+#[test]
+fn an_answer_that_is_passed_on_outlasts_the_time_to_end() {
+    const LARGE: usize = 1 << 20;
+    let (word, held) = std::sync::mpsc::channel();
+    let held = std::sync::Mutex::new(Some(held));
+    let upstream = Upstream::start(move |_| {
+        let held = held.lock().expect("no panic").take().expect("one is held");
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n");
+        Then::Begin(text, held, "x".repeat(LARGE))
+    });
+    let folder = folder("outlasts");
+    let mut old = Node::in_folder(&folder, None, &[upstream.addr]);
+    let mut client = old.client_that_sent(&get("r1", "9000m"));
+    upstream.request();
+    old.comes_to("node_tries 1");
+    old.terminate();
+    // At the time at which all else has ended.
+    old.logs("1 answers are still being passed on");
+    word.send(()).expect("the upstream waits");
+    assert_eq!(client.answer().expect("an answer").body.len(), LARGE);
+    assert!(old.wait().success());
+}
+
 #[test]
 fn a_new_process_that_fails_to_start_leaves_the_old_one_serving() {
     let upstream = Upstream::start(|_| ok(""));
