--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -135,6 +135,35 @@
     }
 }
 
+/// A caller of the old form gets no chunks: the answer ends with its connection. One that wants only a head has asked
+/// for nothing that is served here.
+#[test]
+fn a_large_answer_without_a_length_ends_with_the_connection_of_an_old_caller() {
+    let upstream = by_hand(|stream| {
+        head(stream);
+        send(
+            stream,
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{LARGE:x}\r\n").as_bytes(),
+        );
+        send(stream, &pattern(LARGE));
+        send(stream, b"\r\n0\r\n\r\n");
+    });
+    let node = Node::with(&[upstream]);
+    let mut client = connect(&node);
+    send(&mut client, get("r1", "15000m").replace("HTTP/1.1", "HTTP/1.0").as_bytes());
+    let answer = head(&mut client).to_ascii_lowercase();
+    assert!(answer.contains(" 200 ") && !answer.contains("chunked"), "{answer}");
+    let mut body = Vec::new();
+    client.read_to_end(&mut body).expect("an end");
+    assert!(body == pattern(LARGE));
+    let mut client = connect(&node);
+    send(&mut client, get("r2", "15000m").replace("GET ", "HEAD ").as_bytes());
+    assert!(head(&mut client).starts_with("HTTP/1.1 400 "));
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).expect("an end");
+    assert!(rest.is_empty(), "a head alone");
+}
+
 /// Each side sees the beginning while the end is not yet sent.
 #[test]
 fn first_bytes_pass_on_at_once_both_ways() {
