Derive the stages of the end from the longest deadline of the settings

Ruled out: a slow end of the program, since the answers were not even due: main.rs gave the last ones 3.5 s after SIGTERM (STILL_SERVING, LAST_ANSWER, LAST), whatever the settings said.

Now all three follow from the longest deadline, counted as 3 s where it is longer, as the protocol has it. At deadlines of 3 s and more they are as before, but for the serving of kept connections: 2.33 s, was 2.4 s.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -37,18 +37,40 @@
 const BACKLOG: u32 = 1024;
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// Kept connections are served for this long after SIGTERM. Guards against callers that find no other balancer:
-/// closed sooner, they would have to connect to one that may be starting again itself.
-const STILL_SERVING: Duration = Duration::from_millis(2400);
-/// What is open then, or taken after SIGTERM, is answered by then: SIGKILL comes 3.7 s after it at the soonest.
-const LAST_ANSWER: Duration = Duration::from_millis(3500);
-/// And the program ends by then, but for answers that are being passed on: those it would cut off itself.
-const LAST: Duration = Duration::from_millis(3650);
+/// SIGKILL comes this long after the longest deadline has passed since SIGTERM, at the soonest; a deadline longer than
+/// [`DEADLINE_MOST`] counts as that.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// The last answers get this long to reach their callers before that, and the program ends so long before it.
+const ANSWERS_REACH: Duration = Duration::from_millis(200);
+const ENDS_BEFORE: Duration = Duration::from_millis(50);
 /// How often it is looked at whether anything is still being passed on.
 const LOOK: Duration = Duration::from_millis(100);
 /// Whoever does not kill it by then gets no more of them.
 const LAST_PASSED_ON: Duration = Duration::from_secs(30);
 
+/// When the stages of the end come, counted from SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Ending {
+    /// Until then kept connections are served on. Guards against callers that find no other balancer: closed sooner,
+    /// they would have to connect to one that may be starting again itself.
+    serving: Duration,
+    /// What is open by then is answered, and what is taken after SIGTERM is due by then.
+    answered: Duration,
+    /// The program ends, but for answers that are being passed on: those it would cut off itself.
+    last: Duration,
+}
+
+impl Ending {
+    /// Where the longest deadline of all classes is this.
+    fn of(longest: Duration) -> Ending {
+        let killed = longest.min(DEADLINE_MOST) + KILLED_AFTER;
+        let answered = killed - ANSWERS_REACH;
+        // The last third is left to what was taken before it, so that little has to be failed in the end.
+        Ending { serving: (answered * 2 / 3).max(STILL_ACCEPTING), answered, last: killed - ENDS_BEFORE }
+    }
+}
+
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -109,6 +131,8 @@
     let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = load()?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
+    let longest = deployment.policy.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let ending = Ending::of(span(longest.min(86_400_000.0)));
     let figures = Figures::new(&deployment.classes);
     let budget = Sockets::new(sockets.saturating_sub(if ops.is_some() { ops::DESCRIPTORS } else { 0 }));
     let transport = upstream::Transport::new(
@@ -170,7 +194,7 @@
     }
     eprintln!("{name}: told to end");
     let told = Instant::now();
-    handle.ends_by(LAST_ANSWER);
+    handle.ends_by(ending.answered);
     let succeeded = match &door {
         Some(door) => door.succeeded().await,
         None => false,
@@ -183,7 +207,7 @@
         for (after, next) in [
             (Duration::ZERO, Phase::Leaving),
             (STILL_ACCEPTING, Phase::Draining),
-            (STILL_SERVING, Phase::Closing),
+            (ending.serving, Phase::Closing),
         ] {
             tokio::time::sleep_until(told + after).await;
             phase.send_replace(next);
@@ -193,21 +217,42 @@
         tokio::pin!(served);
         tokio::select! {
             done = &mut served => return done,
-            () = tokio::time::sleep_until(told + LAST_ANSWER) => handle.fail_open(),
+            () = tokio::time::sleep_until(told + ending.answered) => handle.fail_open(),
         }
         served.await
     };
     tokio::pin!(served);
-    let mut until = told + LAST;
+    let mut until = told + ending.last;
     while tokio::time::timeout_at(until, &mut served).await.is_err() {
         if open.active() == 0 || until >= told + LAST_PASSED_ON {
             eprintln!("{name}: callers are still connected at the end, {} answers cut off", open.active());
             break;
         }
-        if until == told + LAST {
+        if until == told + ending.last {
             eprintln!("{name}: {} answers are still being passed on", open.active());
         }
         until += LOOK;
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against being killed with requests unanswered where deadlines are short: SIGKILL comes sooner there.
+    #[test]
+    fn the_end_comes_before_the_platform_kills_whatever_the_deadlines() {
+        for deadline in [1, 100, 400, 1909, 2999, 3000, 6000, 1_000_000] {
+            let killed = Duration::from_millis(deadline.min(3000) + 700);
+            let Ending { serving, answered, last } = Ending::of(Duration::from_millis(deadline));
+            assert!(
+                STILL_ACCEPTING <= serving && serving <= answered,
+                "{deadline}: {serving:?} {answered:?}"
+            );
+            assert!(answered < last && last < killed, "{deadline}: {answered:?} {last:?}");
+        }
+        let long = Ending::of(Duration::from_secs(6));
+        assert_eq!((long.answered, long.last), (Duration::from_millis(3500), Duration::from_millis(3650)));
+    }
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -431,6 +431,25 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+/// Where deadlines are short SIGKILL comes soon after SIGTERM: here after 1.1 s, while answers were given after 3.5 s.
+#[test]
+fn where_deadlines_are_short_what_comes_during_the_end_is_answered_sooner() {
+    let upstream = Upstream::start(|m| if m.start.starts_with("POST") { Then::Wait } else { ok("x") });
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &listing(1, true, &[(0, upstream.addr, "active")]));
+    let short = config.replace("\"objective\":1000,\"deadline\":20000", "\"objective\":300,\"deadline\":400");
+    let mut node = Node::run(command(&short), discovery);
+    let mut kept = node.client();
+    assert_eq!(kept.call(&get("kept", "5000m")).status(), 200);
+    let told = std::time::Instant::now();
+    node.terminate();
+    node.logs("told to end");
+    // The caller would wait for longer than the program runs on.
+    assert_eq!(kept.call(&pay("late", "20000m")).status(), 502);
+    assert!(told.elapsed() < std::time::Duration::from_millis(2500), "{:?}", told.elapsed());
+    assert_eq!(node.wait().code(), Some(0));
+}
+
 #[test]
 fn callers_that_say_nothing_do_not_hold_up_the_end() {
     let upstream = Upstream::start(|_| ok("x"));
