--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 const INFLIGHT_MANY: f64 = 1.3;
 /// Calls in flight always allowed: a copy that carries little gets them in pairs by chance.
 const INFLIGHT_LEAST: f64 = 2.0;
-/// Growth per cycle of what one of many copies may carry beyond an even part of the stated quotas, and its fall.
+/// Growth per cycle of what one of many copies may carry beyond an even part of the quotas, and its fall.
 const BEYOND: f64 = 1.5;
 /// Growth per cycle of what counts as the unloaded answer time, which is the least mean seen of late.
 const UNLOADED_UP: f64 = 0.02;
@@ -179,11 +179,11 @@
     lost: f64,
     unloaded: Millis,
     timely: Millis,
-    /// Whether clients come here first, with quotas stated; copies that share these then; even parts for this one.
+    /// Whether clients come here first, with quotas stated; copies that share these; even parts for this one.
     first: bool,
     copies: f64,
     beyond: f64,
-    /// Whether nothing waits, by the times of answers; and whether calls within their limits were refused this cycle.
+    /// Whether nothing waits, by the times of answers; whether calls within limits were refused this cycle.
     eased: bool,
     crowded: bool,
 }
@@ -282,7 +282,7 @@
             self.adapt(self.cycle_admitted / part);
             let crowded = std::mem::take(&mut self.crowded);
             if crowded && self.eased && self.beyond < self.copies {
-                // Clients come unevenly: this copy has more than an even part of them, and upstreams have room.
+                // Clients come unevenly: this copy has more than an even part, and upstreams have room.
                 self.beyond = (self.beyond * BEYOND).min(self.copies);
                 self.capacity = self.capacity.max(self.peak) * BEYOND;
             } else if crowded {
