Open broken watches anew within the grace, and end calls to a new address in time

The pause is now a third of the grace. - A call for a whole list waited 6 s for a silent agent (WHOLE), though one that a list is pushed to answers at once, and after SIGHUP news counts as told within 4 s; the pause there doubled up to 6 s. Now such calls get an answer's time, 0.5 s or 1.5 s, and the pause doubles up to 0.5 s. Ruled out by reading: half an answer (the call's time covers its body), a move while a list is read (what is under way is dropped), a connection closed between two calls (opened anew within the call). Further calls cost the agent nothing; a line that repeats is logged once until a call succeeds.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -24,23 +24,33 @@
 struct Patience {
     wait: Duration,
     answer: Duration,
+    /// A call for the whole list, which does not wait for news, gets this long.
+    whole: Duration,
 }
 
 impl Patience {
     /// The agent that a list is pushed to is on this machine and answers at no cost.
-    const PUSHED: Patience = Patience { wait: Duration::from_secs(1), answer: Duration::from_millis(500) };
-    /// Discovery that must be asked is one queue for all: fewer calls, and more time for each.
-    const ASKED: Patience = Patience { wait: Duration::from_secs(5), answer: Duration::from_millis(1500) };
+    const PUSHED: Patience = Patience {
+        wait: Duration::from_secs(1),
+        answer: Duration::from_millis(500),
+        whole: Duration::from_millis(500),
+    };
+    /// Discovery that must be asked is one queue for all, and works in turn: fewer calls, and more time for each.
+    const ASKED: Patience = Patience {
+        wait: Duration::from_secs(5),
+        answer: Duration::from_millis(1500),
+        whole: Duration::from_secs(6),
+    };
 }
 
-/// A call for the whole list, which does not wait for news, gets this long: discovery works in turn.
-const WHOLE: Duration = Duration::from_secs(6);
 /// A connection to discovery that is not up after this long has failed: it must not use up a call's time.
 const DIAL: Duration = Duration::from_secs(1);
-/// First pause before a new address that failed is tried again; it doubles with each failure up to [`WHOLE`].
+/// First pause before a new address that failed is tried again; it doubles with each failure up to the most. All that
+/// discovery has counts as told 4 s after the signal, so that a call there gets no more than an answer's time either.
 const MOVED_PAUSE: Duration = Duration::from_millis(100);
-/// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
-const PUSHED_PAUSE: Duration = Duration::from_millis(500);
+const MOVED_PAUSE_MOST: Duration = Duration::from_millis(500);
+/// Longest and shortest pause before a pushed list is asked for again.
+const PUSHED_PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// Largest list accepted.
 const LIST_MOST: usize = 4 << 20;
 
@@ -170,22 +180,30 @@
     /// Whether the list needs no asking and the watch always stands.
     pushed: bool,
     patience: Patience,
+    /// Before a pushed list is asked for again.
+    pause: Duration,
     link: Option<Link>,
     version: Option<u64>,
+    /// What was wrong with the last call.
+    error: Option<String>,
 }
 
 impl Discovery {
     /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is
-    /// where discovery is.
+    /// where discovery is; sends to an upstream that drains must end within `grace` of the news.
     pub fn new(
         addresses: watch::Receiver<SocketAddr>,
         names: Names,
         pushed: bool,
+        grace: Duration,
         version: Option<u64>,
     ) -> Discovery {
         let addr = *addresses.borrow();
         let patience = if pushed { Patience::PUSHED } else { Patience::ASKED };
-        Discovery { addr, addresses, names, pushed, patience, link: None, version }
+        // What the agent gets while a watch is broken counts as told all the same: the next call has to bring it well
+        // within the grace.
+        let pause = (grace / 3).clamp(PUSHED_PAUSE.0, PUSHED_PAUSE.1);
+        Discovery { addr, addresses, names, pushed, patience, pause, link: None, version, error: None }
     }
 
     /// Serves subscriptions for ever.
@@ -223,7 +241,7 @@
         if moved {
             let mut pause = MOVED_PAUSE;
             while !answered {
-                match self.call().await {
+                match self.call(self.patience.answer).await {
                     Ok(listing) => {
                         driver.listed(&listing);
                         answered = true;
@@ -231,7 +249,7 @@
                     Err(error) => {
                         self.failed(&error);
                         tokio::time::sleep(pause).await;
-                        pause = (pause * 2).min(WHOLE);
+                        pause = (pause * 2).min(MOVED_PAUSE_MOST);
                     }
                 }
             }
@@ -241,7 +259,8 @@
                 driver.subscribed().await;
             }
             let error = loop {
-                match self.call().await {
+                let Patience { wait, answer, whole } = self.patience;
+                match self.call(if self.version.is_some() { wait + answer } else { whole }).await {
                     Ok(listing) => {
                         // One event answers the subscription; after that only changes are news.
                         if !answered || listing.full || !listing.entries.is_empty() {
@@ -256,21 +275,23 @@
             self.failed(&error);
             driver.list_failed();
             if self.pushed {
-                tokio::time::sleep(PUSHED_PAUSE).await;
+                tokio::time::sleep(self.pause).await;
             }
         }
     }
 
     fn failed(&mut self, error: &str) {
         self.link = None;
-        eprintln!("discovery: {error}");
+        // Guards against a log full of one line while discovery is down.
+        if self.error.as_deref() != Some(error) {
+            eprintln!("discovery: {error}");
+            self.error = Some(error.to_string());
+        }
     }
 
     /// One call. An answer that is malformed is an error and changes nothing, and so are changes that do not
     /// follow what is known; a whole list holds whatever its version, as discovery may have begun anew.
-    async fn call(&mut self) -> Result<Listing, String> {
-        let Patience { wait, answer } = self.patience;
-        let patience = if self.version.is_some() { wait + answer } else { WHOLE };
+    async fn call(&mut self, patience: Duration) -> Result<Listing, String> {
         let listing =
             timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
         if !listing.full && self.version.is_none_or(|v| listing.version < v) {
@@ -278,7 +299,7 @@
             let known = self.version.take().unwrap_or(0);
             return Err(format!("version {} does not follow {known}", listing.version));
         }
-        self.version = Some(listing.version);
+        (self.version, self.error) = (Some(listing.version), None);
         Ok(listing)
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -155,7 +155,13 @@
     let (address_of_discovery, addresses) = watch::channel(discovery);
     tokio::task::spawn_local(follow(hup, address_of_discovery, figures.clone()));
     let (names, pushed) = (Names::of(&deployment), !deployment.policy.ask_for_list);
-    let watcher = Discovery::new(addresses, names, pushed, known.as_ref().map(|k| k.version));
+    let watcher = Discovery::new(
+        addresses,
+        names,
+        pushed,
+        span(deployment.drain_grace),
+        known.as_ref().map(|k| k.version),
+    );
     tokio::task::spawn_local(watcher.run(handle.clone()));
     let (phase, phases) = watch::channel(Phase::Starting);
     let phase = Rc::new(phase);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -384,6 +384,42 @@
     drop(first);
 }
 
+/// What an agent gets counts as told, whether or not a watch is open: with 0.5 s between a reset and the next call a
+/// balancer went on sending to upstreams that drain for longer than the grace, here 0.3 s.
+#[test]
+fn a_watch_that_breaks_is_opened_anew_within_the_grace() {
+    let agent = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let config = config(agent.local_addr().expect("an address"), 1024, "null");
+    let pushed =
+        config.replace("on_request", "pushed").replace("\"drain_grace\":1000", "\"drain_grace\":300");
+    let _node = Node::run(command(&pushed), Discovery::start());
+    let mut first = None;
+    for _ in 0..7 {
+        let mut stream = BufReader::new(agent.accept().expect("a call").0);
+        read(&mut stream).expect("a call");
+        first.get_or_insert_with(std::time::Instant::now);
+        socket2::SockRef::from(stream.get_ref())
+            .set_linger(Some(std::time::Duration::ZERO))
+            .expect("a socket");
+    }
+    // Six pauses: 0.6 s with the mend, 3 s without.
+    let took = first.expect("a call").elapsed();
+    assert!(took < std::time::Duration::from_millis(1800), "{took:?}");
+}
+
+/// After a reload all news counts as told within 4 s, while a call to a silent address was waited for for 6 s.
+#[test]
+fn a_new_address_that_stays_silent_is_asked_again_in_time() {
+    let node = Node::start(1024, "null");
+    node.discovery.called();
+    let silent = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let reloaded = std::time::Instant::now();
+    node.reload(&config(silent.local_addr().expect("an address"), 1024, "null"));
+    let calls: Vec<_> = (0..2).map(|_| silent.accept().expect("a call")).collect();
+    assert!(reloaded.elapsed() < std::time::Duration::from_secs(4), "{:?}", reloaded.elapsed());
+    drop(calls);
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
     let (word, hold) = channel();
