End small answers that never end in their request's time

Its upstream had fallen silent in the middle of a small answer. Ruled out: a request nobody read (it is in the log), an early end of the program (it was alive), a failed one not told (200).

Cause: upstream.rs, `hold` gave up on an answer after 1 s also where it states a small length, and began to pass it on; `pass_on` then waited 10 s for the rest, past the request's time and the end of the program. Now an answer that states a small length comes whole or fails with its attempt's time-out, and one without a length that is still small at the end of its request's time is broken off, so that its caller can tell. Large ones go on as before.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -262,14 +262,16 @@
         let (mut head, mut body) = answer.into_parts();
         let large = length.is_some_and(|length| length > WHOLE_MOST as u64);
         let mut held = BytesMut::new();
-        let whole = if large { Ok(false) } else { hold(&mut body, &mut held).await };
+        // One that says that it is small comes whole or not at all: its attempt has a time-out.
+        let most = length.is_none().then_some(HELD);
+        let whole = if large { Ok(false) } else { hold(&mut body, &mut held, most).await };
         let answer = match (whole, ending) {
             (Err(ending), _) => return (ending, None),
             (Ok(false), Ending::Ok) => {
                 end_to_end(&mut head.headers);
                 let (give, frames) = frames(length);
                 begun(Answer::Served { headers: head.headers, body: Content::Frames(frames) });
-                if let Err(ending) = pass_on(give, held.freeze(), body).await {
+                if let Err(ending) = pass_on(give, held.freeze(), body, (!large).then_some(until)).await {
                     return (ending, None);
                 }
                 None
@@ -296,18 +298,17 @@
     }
 }
 
-/// Reads an answer while it may be a small one. Tells whether this was all of it.
-async fn hold(body: &mut Incoming, held: &mut BytesMut) -> Result<bool, Ending> {
-    let until = Instant::now() + HELD;
+/// Reads an answer while it may be a small one, for so long at most. Tells whether this was all of it.
+async fn hold(body: &mut Incoming, held: &mut BytesMut, most: Option<Duration>) -> Result<bool, Ending> {
+    let until = most.map(|most| Instant::now() + most);
     while held.len() <= WHOLE_MOST {
-        let frame = if held.is_empty() {
-            // Nothing of it has come that could be passed on.
-            body.frame().await
-        } else {
-            match timeout_at(until, body.frame()).await {
+        let frame = match until {
+            Some(until) if !held.is_empty() => match timeout_at(until, body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) => return Ok(false),
-            }
+            },
+            // Or nothing of it has come that could be passed on.
+            _ => body.frame().await,
         };
         match frame {
             None => return Ok(true),
@@ -318,15 +319,22 @@
     Ok(false)
 }
 
-/// Passes a large answer on as fast as it is taken.
-async fn pass_on(give: Giver, held: Bytes, mut body: Incoming) -> Result<(), Ending> {
+/// Passes a large answer on as fast as it is taken. One that may still be small is broken off at `until`, the end of its
+/// request's time. Guards against answers that begin and never end: their callers would be owed the rest for ever.
+async fn pass_on(give: Giver, held: Bytes, mut body: Incoming, until: Option<Instant>) -> Result<(), Ending> {
     let mut given = held.len() as u64;
     let gone = |()| Ending::Cancelled;
     if !held.is_empty() {
         give.give(held).await.map_err(gone)?;
     }
     loop {
-        match timeout(STALLED, body.frame()).await.map_err(|_| Ending::Reset)? {
+        let timed = until.filter(|_| given <= WHOLE_MOST as u64);
+        let stalls = Instant::now() + STALLED;
+        let (due, ending) = match timed {
+            Some(until) if until < stalls => (until, Ending::Timeout),
+            _ => (stalls, Ending::Reset),
+        };
+        match timeout_at(due, body.frame()).await.map_err(|_| ending)? {
             None => {
                 give.end();
                 return Ok(());
--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -4,7 +4,10 @@
 use common::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 use std::thread;
+use std::time::{Duration, Instant};
 
 const LARGE: usize = 3 << 20;
 
@@ -324,3 +327,26 @@
     }
     assert!(head(&mut client).starts_with("HTTP/1.1 413 "));
 }
+
+/// Guards against answers that begin and never end: their callers were owed the rest for 10 s, past their time and past
+/// the end of the program.
+#[test]
+fn a_small_answer_that_never_ends_fails_in_its_time() {
+    for (head, begun) in
+        [("Content-Length: 9\r\n\r\nhalf", false), ("Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true)]
+    {
+        let (_go, word) = channel();
+        let word = Mutex::new(Some(word));
+        let upstream = Upstream::start(move |_| match word.lock().expect("no panic").take() {
+            Some(word) => Then::Begin(format!("HTTP/1.1 200 OK\r\n{head}"), word, String::new()),
+            None => ok("x"),
+        });
+        let node = Node::with(&[upstream.addr]);
+        let started = Instant::now();
+        let request = pay("r1", "1500m").replacen("Host:", "Connection: close\r\nHost:", 1);
+        let raw = asks(node.addr, request.as_bytes());
+        assert!(started.elapsed() < Duration::from_secs(6), "{head:?}: {:?}", started.elapsed());
+        let wanted = if begun { "HTTP/1.1 200 OK" } else { "HTTP/1.1 502 Bad Gateway" };
+        assert!(raw.starts_with(wanted) && !raw.ends_with("\r\n0\r\n\r\n"), "{raw:?}");
+    }
+}
