--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies on their way. Small ones are taken whole; large ones pass on as they come, both ways, with no more of them in
 //! memory than a few frames.
-use crate::driver::Requested;
 use crate::inbound::Written;
 use crate::metrics::{Outcome, Taken};
 use bytes::Bytes;
@@ -127,12 +126,21 @@
     }
 }
 
+/// Learns how far the body of an open request has come.
+pub trait UploadObserver {
+    /// All of it has come.
+    fn completed(&self);
+
+    /// What has come of it is no longer held, so that no other attempt can send it.
+    fn released(&self);
+}
+
 /// A request's large body, which goes on while it comes.
 pub struct Upload {
     state: RefCell<Coming>,
     length: Option<u64>,
     /// Told when all of it has come, and when it is no longer held.
-    request: RefCell<Option<Requested>>,
+    observer: RefCell<Option<Box<dyn UploadObserver>>>,
     fault: Cell<Option<Fault>>,
     /// When something of it was asked for last.
     asked: Cell<Instant>,
@@ -150,13 +158,13 @@
     pub fn new(rest: Paced, held: Vec<Bytes>) -> Rc<Upload> {
         let length = rest.length().map(|left| left + held.iter().map(|b| b.len() as u64).sum::<u64>());
         let state = RefCell::new(Coming { rest, held: Some(held), whole: false });
-        let (request, fault, asked) = (RefCell::default(), Cell::new(None), Cell::new(Instant::now()));
-        Rc::new(Upload { state, length, request, fault, asked })
+        let (observer, fault, asked) = (RefCell::default(), Cell::new(None), Cell::new(Instant::now()));
+        Rc::new(Upload { state, length, observer, fault, asked })
     }
 
-    /// Names the request that this is the body of.
-    pub fn belongs_to(&self, request: Requested) {
-        *self.request.borrow_mut() = Some(request);
+    /// Names whoever is told when all of it has come, and when it is no longer held.
+    pub fn observe(&self, observer: Box<dyn UploadObserver>) {
+        *self.observer.borrow_mut() = Some(observer);
     }
 
     /// Whether all of it has come.
@@ -209,12 +217,12 @@
             (next, spent, ended)
         };
         // Only now, as what they do may come back here.
-        if let Some(request) = self.request.borrow().as_ref() {
+        if let Some(observer) = self.observer.borrow().as_ref() {
             if spent {
-                request.spent();
+                observer.released();
             }
             if ended {
-                request.whole();
+                observer.completed();
             }
         }
         if let Some(Err(fault)) = next {
@@ -427,86 +435,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use hyper::server::conn::http1;
-    use hyper::service::service_fn;
-    use hyper::{Request, Response};
-    use hyper_util::rt::TokioIo;
-    use std::convert::Infallible;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-
-    /// What becomes of a body of this length whose caller was waited for, for this long.
-    async fn of(length: usize, waited: Duration, send: impl AsyncFnOnce(&mut DuplexStream)) -> String {
-        let (mut caller, here) = tokio::io::duplex(1 << 20);
-        let service = service_fn(move |request: Request<Incoming>| async move {
-            let mut body = Paced::new(request.into_body(), waited);
-            let mut came = 0;
-            let end = loop {
-                match body.next().await {
-                    None => break "whole".to_string(),
-                    Some(Ok(piece)) => came += piece.len(),
-                    Some(Err(fault)) => break fault.to_string(),
-                }
-            };
-            Ok::<_, Infallible>(Response::new(format!("{came} {end}")))
-        });
-        let served = tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(here), service));
-        let head = format!("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
-        caller.write_all(head.as_bytes()).await.expect("takes it");
-        send(&mut caller).await;
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).await.expect("an answer");
-        served.abort();
-        answer.rsplit("\r\n\r\n").next().unwrap_or_default().to_string()
-    }
-
-    /// 64 kB a second, a second in one piece, behind a head that took 2 s.
-    #[tokio::test(start_paused = true)]
-    async fn a_body_at_the_least_rate_promised_is_waited_for() {
-        let end = of(640_000, Duration::from_secs(2), async |caller| {
-            for _ in 0..40 {
-                sleep(Duration::from_millis(250)).await;
-                caller.write_all(&[0; 16_000]).await.expect("takes it");
-            }
-        });
-        assert_eq!(end.await, "640000 whole");
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_body_that_stops_is_given_up_in_time() {
-        let start = Instant::now();
-        assert_eq!(of(1000, Duration::ZERO, async |_| ()).await, "0 the body did not come");
-        assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
-        // What came at once buys no more time than it is worth.
-        let start = Instant::now();
-        let end = of(1000, Duration::from_secs(1), async |caller| {
-            caller.write_all(&[0; 640]).await.expect("takes it");
-        });
-        assert_eq!(end.await, "640 the body did not come");
-        assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
-    }
-
-    /// Only what its caller is waited for counts, not the time in which nobody asks for more.
-    #[tokio::test(start_paused = true)]
-    async fn a_body_that_waits_here_is_not_late() {
-        let (mut caller, here) = tokio::io::duplex(1 << 20);
-        let service = service_fn(|request: Request<Incoming>| async move {
-            let mut body = Paced::new(request.into_body(), Duration::ZERO);
-            let mut came = 0;
-            while let Some(piece) = body.next().await {
-                came += piece.map_or(0, |piece| piece.len());
-                sleep(Duration::from_secs(3)).await;
-            }
-            Ok::<_, Infallible>(Response::new(came.to_string()))
-        });
-        let served = tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(here), service));
-        let head = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n";
-        caller.write_all(head.as_bytes()).await.expect("takes it");
-        caller.write_all(&[0; 100_000]).await.expect("takes it");
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).await.expect("an answer");
-        served.abort();
-        assert!(answer.ends_with("\r\n\r\n100000"), "{answer}");
-    }
-}
+mod tests;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,5 @@
 //! The configuration file as typed values. Whatever is wrong with it is named with the field at fault.
-use crate::discovery::{Listing, Names};
+use crate::endpoints::{EndpointUpdate, TopologyNames};
 use oakflow_settings::Deployment;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -44,7 +44,7 @@
     pub sockets: usize,
     /// The list of upstreams as this balancer last had it, or why it cannot be read: it only saves time, so that this
     /// is no reason not to start.
-    pub known: Result<Option<Listing>, String>,
+    pub known: Result<Option<EndpointUpdate>, String>,
     /// The settings, for the module and for the sockets.
     pub deployment: Deployment,
 }
@@ -73,9 +73,9 @@
         if sockets < SOCKETS_LEAST {
             return Err(format!("limits.sockets: must be at least {SOCKETS_LEAST}"));
         }
-        let names = Names::of(&deployment);
+        let names = TopologyNames::of(&deployment);
         let known = match file.known.as_ref().map(|k| k.get()).filter(|k| *k != "null") {
-            Some(known) => Listing::parse(known.as_bytes(), &names).map(Some),
+            Some(known) => EndpointUpdate::parse(known.as_bytes(), &names).map(Some),
             None => Ok(None),
         };
         let File { name, listen, discovery, ops, .. } = file;
--- a/node/src/config/tests.rs
+++ b/node/src/config/tests.rs
@@ -13,7 +13,7 @@
 fn a_whole_configuration_is_read() {
     let c = Config::parse(GOOD.as_bytes()).unwrap();
     assert_eq!((c.seed, c.sockets, c.deployment.dial_timeout), (0x8c1f_30d2_7a5b_e964, 1024, 250.0));
-    let list: Vec<_> = c.known.iter().flatten().flat_map(Listing::members).collect();
+    let list: Vec<_> = c.known.iter().flatten().flat_map(EndpointUpdate::members).collect();
     assert_eq!((list.len(), list[0].kind, list[0].group), (1, 1, 3));
 }
 
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,15 +1,16 @@
-//! The list of upstreams: its form, and the watch that keeps it fresh.
+//! The discovery client: the watch that keeps the list of endpoints up to date.
 //!
-//! When to ask is the module's choice ([`oakflow::Action::Subscribe`]); a watch that stands is kept up here.
-use crate::driver::Handle;
+//! When to ask is the decision module's choice ([`oakflow::Action::Subscribe`]), which the consumer of the updates passes
+//! on; a watch that stands is kept up here.
+use crate::clock::from_millis;
+use crate::endpoints::{EndpointConsumer, EndpointUpdate, TopologyNames};
+use crate::log::Log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use oakflow::{Availability, Member, UpstreamId};
 use oakflow_settings::Deployment;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -22,7 +23,7 @@
 const TOLD: Duration = Duration::from_secs(6);
 /// The module lets up to a third of this pass between two calls that failed, so that both and the next fit into
 /// [`TOLD`] together.
-pub const ASK_WITHIN: Duration = TOLD.checked_div(2).expect("not divided by zero");
+pub const ACKNOWLEDGE_INTERVAL: Duration = TOLD.checked_div(2).expect("not divided by zero");
 
 /// How long one call of a watch may wait for news, and how long it then gets to answer before it counts as failed.
 /// Guards against a watch that falls silent: nothing tells it from one without news until its wait is over.
@@ -66,99 +67,6 @@
 /// Largest list accepted.
 const LIST_MOST: usize = 4 << 20;
 
-/// Names of zones and kinds, by the position that the module knows them by.
-pub struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-}
-
-impl Names {
-    /// The names that the settings list.
-    pub fn of(d: &Deployment) -> Names {
-        Names { zones: d.zones.clone(), kinds: d.kinds.clone() }
-    }
-}
-
-#[derive(Deserialize)]
-struct RawListing {
-    version: u64,
-    full: bool,
-    servers: Vec<RawEntry>,
-}
-
-#[derive(Deserialize)]
-struct RawEntry {
-    id: String,
-    addr: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    cell: u16,
-    state: String,
-    #[serde(default)]
-    started_ms: f64,
-}
-
-/// One upstream of an answer: its line for the module and its address.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// What the module is told.
-    pub member: Member,
-    /// Where it listens, as this balancer sees it.
-    pub addr: SocketAddr,
-}
-
-/// An answer of discovery.
-#[derive(Clone, Debug)]
-pub struct Listing {
-    /// Grows with each change.
-    pub version: u64,
-    /// Whether this is the whole list, or only what changed.
-    pub full: bool,
-    /// The upstreams.
-    pub entries: Vec<Entry>,
-}
-
-impl Listing {
-    /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
-    pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
-        let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
-        let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
-        Ok(Listing { version: raw.version, full: raw.full, entries })
-    }
-
-    /// The lines for the module.
-    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
-        self.entries.iter().map(|e| e.member.clone())
-    }
-}
-
-fn entry(e: RawEntry, names: &Names) -> Result<Entry, String> {
-    let availability = match e.state.as_str() {
-        "active" => Availability::Ready,
-        "leaving" => Availability::Draining,
-        "left" => Availability::Gone,
-        other => return Err(format!("upstream {:?}: unknown state {other:?}", e.id)),
-    };
-    if e.id.is_empty() || !(0.0..1e15).contains(&e.started_ms) {
-        return Err(format!("upstream {:?}: started_ms reads {}", e.id, e.started_ms));
-    }
-    // A name that the settings do not list gets a position that no class is bound to.
-    let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
-    let kind = names.kinds.iter().position(|k| *k == e.kind).map_or(u8::MAX, |i| i as u8);
-    let (id, group, since) = (upstream_id(&e.id), e.cell, e.started_ms);
-    Ok(Entry { member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
-}
-
-/// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
-/// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
-pub fn upstream_id(name: &str) -> UpstreamId {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 /// One connection to discovery; closed when dropped.
 struct Link {
     sender: http1::SendRequest<Empty<Bytes>>,
@@ -188,7 +96,7 @@
 pub struct Discovery {
     addr: SocketAddr,
     addresses: watch::Receiver<SocketAddr>,
-    names: Names,
+    names: TopologyNames,
     /// Whether the list needs no asking and the watch always stands.
     pushed: bool,
     patience: Patience,
@@ -198,28 +106,39 @@
     version: Option<u64>,
     /// What was wrong with the last call.
     error: Option<String>,
+    log: Log,
 }
 
 impl Discovery {
-    /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is
-    /// where discovery is; sends to an upstream that drains must end within `grace` of the news.
+    /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is where
+    /// discovery is.
     pub fn new(
         addresses: watch::Receiver<SocketAddr>,
-        names: Names,
-        pushed: bool,
-        grace: Duration,
+        deployment: &Deployment,
         version: Option<u64>,
+        log: Log,
     ) -> Discovery {
+        let pushed = !deployment.policy.ask_for_list;
+        // What the agent gets while a watch is broken counts as acknowledged all the same: the next call has to bring
+        // it well within the time in which sends to a draining upstream must end.
+        let drain_grace = from_millis(deployment.drain_grace);
         let addr = *addresses.borrow();
-        let patience = if pushed { Patience::PUSHED } else { Patience::ASKED };
-        // What the agent gets while a watch is broken counts as told all the same: the next call has to bring it well
-        // within the grace.
-        let pause = (grace / 3).clamp(PUSHED_PAUSE.0, PUSHED_PAUSE.1);
-        Discovery { addr, addresses, names, pushed, patience, pause, link: None, version, error: None }
+        Discovery {
+            addr,
+            addresses,
+            names: TopologyNames::of(deployment),
+            pushed,
+            patience: if pushed { Patience::PUSHED } else { Patience::ASKED },
+            pause: (drain_grace / 3).clamp(PUSHED_PAUSE.0, PUSHED_PAUSE.1),
+            link: None,
+            version,
+            error: None,
+            log,
+        }
     }
 
     /// Serves subscriptions for ever.
-    pub async fn run(mut self, driver: Handle) {
+    pub async fn run(mut self, consumer: impl EndpointConsumer) {
         let mut addresses = self.addresses.clone();
         let mut moved = false;
         loop {
@@ -235,27 +154,27 @@
                     // The program is ending.
                     Err(_) => return,
                 },
-                () = self.serve(&driver, moved) => {}
+                () = self.serve(&consumer, moved) => {}
             }
         }
     }
 
     /// Goes over to another address, where the versions of the old one mean nothing.
     fn follow(&mut self, addr: SocketAddr) {
-        eprintln!("discovery: now at {addr}");
+        self.log.line(&format!("discovery: now at {addr}"));
         (self.addr, self.link, self.version) = (addr, None, None);
     }
 
     /// Serves subscriptions for ever. After a move the first call waits for none and is repeated until it has
     /// brought the whole list: until then the balancer goes by what it was told before.
-    async fn serve(&mut self, driver: &Handle, moved: bool) {
+    async fn serve(&mut self, consumer: &impl EndpointConsumer, moved: bool) {
         let mut answered = false;
         if moved {
             let mut pause = MOVED_PAUSE;
             while !answered {
                 match self.call(self.patience.answer).await {
-                    Ok(listing) => {
-                        driver.listed(&listing);
+                    Ok(update) => {
+                        consumer.apply(&update);
                         answered = true;
                     }
                     Err(error) => {
@@ -268,16 +187,16 @@
         }
         loop {
             if !self.pushed && !answered {
-                driver.subscribed().await;
+                consumer.subscribed().await;
             }
             let error = loop {
                 let patience =
                     self.version.map_or(self.patience.whole, |_| self.wait() + self.patience.answer);
                 match self.call(patience).await {
-                    Ok(listing) => {
+                    Ok(update) => {
                         // One event answers the subscription; after that only changes are news.
-                        if !answered || listing.full || !listing.entries.is_empty() {
-                            driver.listed(&listing);
+                        if !answered || update.full || !update.endpoints.is_empty() {
+                            consumer.apply(&update);
                         }
                         answered = true;
                     }
@@ -286,7 +205,7 @@
             };
             answered = false;
             self.failed(&error);
-            driver.list_failed();
+            consumer.update_failed();
             if self.pushed {
                 tokio::time::sleep(self.pause).await;
             }
@@ -297,7 +216,7 @@
         self.link = None;
         // Guards against a log full of one line while discovery is down.
         if self.error.as_deref() != Some(error) {
-            eprintln!("discovery: {error}");
+            self.log.line(&format!("discovery: {error}"));
             self.error = Some(error.to_string());
         }
     }
@@ -314,19 +233,18 @@
     /// One call. An answer that is malformed is an error and changes nothing, and so is what does not follow what is
     /// known: discovery may have begun anew, but an answer may also be stale. The next call asks for the whole list,
     /// which holds whatever its version.
-    async fn call(&mut self, patience: Duration) -> Result<Listing, String> {
-        let listing =
-            timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
-        if self.version.map_or(!listing.full, |v| listing.version < v) {
+    async fn call(&mut self, patience: Duration) -> Result<EndpointUpdate, String> {
+        let update = timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
+        if self.version.map_or(!update.full, |v| update.version < v) {
             // Guards against asking for ever for what follows a version that discovery no longer knows.
             let known = self.version.take().unwrap_or(0);
-            return Err(format!("version {} does not follow {known}", listing.version));
+            return Err(format!("version {} does not follow {known}", update.version));
         }
-        (self.version, self.error) = (Some(listing.version), None);
-        Ok(listing)
+        (self.version, self.error) = (Some(update.version), None);
+        Ok(update)
     }
 
-    async fn fetch(&mut self) -> Result<Listing, String> {
+    async fn fetch(&mut self) -> Result<EndpointUpdate, String> {
         let path = match self.version {
             Some(v) => format!("/api/targets?since={v}&timeout_ms={}", self.wait().as_millis()),
             None => "/api/targets".to_string(),
@@ -347,6 +265,6 @@
             return Err(format!("answered {}", answer.status()));
         }
         let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
-        Listing::parse(&body.to_bytes(), &self.names)
+        EndpointUpdate::parse(&body.to_bytes(), &self.names)
     }
 }
--- /dev/null
+++ b/node/src/dispatch.rs
@@ -0,0 +1,54 @@
+//! How the attempts of a balancer are carried out.
+use crate::body::Content;
+use crate::message::{Answer, Outgoing};
+use crate::upstream::{Transport, Upstream};
+use bytes::Bytes;
+use hyper::HeaderMap;
+use oakflow::Ending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Carries attempts out, or pretends to.
+#[derive(Clone)]
+pub enum Dispatch {
+    /// Over sockets to the upstreams.
+    Sockets(Transport),
+    /// Nowhere: each attempt ends at once as if its upstream had served it with an empty body.
+    Hollow,
+}
+
+impl Dispatch {
+    /// Carries one attempt out; see [`Transport::attempt`].
+    pub async fn attempt(
+        &self,
+        upstream: Rc<Upstream>,
+        request: Rc<Outgoing>,
+        until: Instant,
+        begun: impl FnOnce(Answer),
+    ) -> (Ending, Option<Answer>) {
+        match self {
+            Dispatch::Sockets(transport) => transport.attempt(upstream, request, until, begun).await,
+            Dispatch::Hollow => {
+                let served = Answer::Served { headers: HeaderMap::new(), body: Content::Whole(Bytes::new()) };
+                (Ending::Ok, Some(served))
+            }
+        }
+    }
+
+    /// How long connections to upstreams may be idle; none where there are no connections.
+    pub fn idle_limit(&self) -> Option<Duration> {
+        match self {
+            Dispatch::Sockets(transport) => Some(transport.idle),
+            Dispatch::Hollow => None,
+        }
+    }
+
+    /// Whether no more sockets may be opened.
+    pub fn sockets_exhausted(&self) -> bool {
+        match self {
+            Dispatch::Sockets(transport) => transport.sockets.exhausted(),
+            Dispatch::Hollow => false,
+        }
+    }
+}
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,17 +1,20 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here.
-use crate::body::{Content, Fault, Payload};
-use crate::discovery::{upstream_id, Listing};
-use crate::upstream::{Transport, Upstream};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, StatusCode, Uri};
+use crate::body::{Payload, UploadObserver};
+use crate::clock::{from_millis, to_millis, Clock};
+use crate::dispatch::Dispatch;
+use crate::endpoints::{upstream_id, EndpointConsumer, EndpointUpdate};
+use crate::log::Log;
+use crate::message::{Answer, Outgoing, Untaken};
+use crate::upstream::Upstream;
+use hyper::header::HeaderValue;
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -23,54 +26,6 @@
 /// Longest timer that the module may ask for.
 const TIMER_MOST: Millis = 71.0 * 60_000.0;
 
-/// A request as it goes on to upstreams.
-pub struct Outgoing {
-    /// The caller's id for it.
-    pub name: Option<HeaderValue>,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Payload,
-    /// Set when the request has ended: what has not been written for it by then must not be.
-    pub over: Cell<bool>,
-}
-
-/// The one final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// An upstream's answer.
-    Served {
-        /// Its end-to-end headers.
-        headers: HeaderMap,
-        /// Its body.
-        body: Content,
-    },
-    /// Refused: another try does no harm.
-    Refused {
-        /// How long the client should stay away; zero: no advice.
-        retry_after: Millis,
-    },
-    /// Turned away by the upstream as something it can't use.
-    Unusable(StatusCode),
-    /// Its body did not come as it should.
-    Unsent(Fault),
-    /// Failed, with no promise about its effect.
-    Failed,
-}
-
-/// Why a request was not taken.
-#[derive(Debug)]
-pub enum Untaken {
-    /// As many are open as may be.
-    Full,
-    /// One with its id is open.
-    Known,
-}
-
 struct Open {
     /// Taken when the final answer is given or the client is gone.
     reply: Option<oneshot::Sender<Answer>>,
@@ -110,17 +65,18 @@
 }
 
 /// An open request, as its body sees it.
-pub struct Requested(Handle, RequestId);
+struct OpenRequest {
+    handle: Handle,
+    id: RequestId,
+}
 
-impl Requested {
-    /// All of it has come: its time begins.
-    pub fn whole(&self) {
-        self.0.whole(self.1);
+impl UploadObserver for OpenRequest {
+    fn completed(&self) {
+        self.handle.whole(self.id);
     }
 
-    /// What has come of it is no longer held.
-    pub fn spent(&self) {
-        self.0.feed(Event::Spent(self.1));
+    fn released(&self) {
+        self.handle.feed(Event::Spent(self.id));
     }
 }
 
@@ -132,9 +88,9 @@
 
 struct Driver {
     balancer: Balancer,
-    start: Instant,
-    start_ms: Millis,
-    transport: Transport,
+    clock: Clock,
+    dispatch: Dispatch,
+    log: Log,
     drain_grace: Duration,
     max_open: usize,
     /// Every request has its answer by then.
@@ -163,30 +119,20 @@
 #[derive(Clone)]
 pub struct Handle(Rc<Shared>);
 
-/// Milliseconds since 1970, the module's clock, so that start times of upstreams need no conversion.
-pub fn unix_ms() -> Millis {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
-}
-
-/// A span of time; the module and the settings state none that is negative or endless here.
-fn span(ms: Millis) -> Duration {
-    Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
-}
-
 /// What a driver is built from.
 pub struct Parts {
     /// The module.
     pub balancer: Balancer,
-    /// When the module's clock read `start_ms`.
-    pub start: Instant,
-    /// The clock at the start; it goes on by elapsed time alone, whatever is done to the system's clock.
-    pub start_ms: Millis,
-    /// Attempts and connections.
-    pub transport: Transport,
+    /// The module's clock.
+    pub clock: Clock,
+    /// How attempts are carried out.
+    pub dispatch: Dispatch,
     /// Within this time after the news sends to a draining upstream must end.
     pub drain_grace: Duration,
     /// Most requests open at once.
     pub max_open: usize,
+    /// Where the module's log lines go.
+    pub log: Log,
 }
 
 /// A request that waits for its final answer. Dropping it tells the module that the client is gone.
@@ -217,12 +163,12 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, start, start_ms, transport, drain_grace, max_open } = parts;
+        let Parts { balancer, clock, dispatch, drain_grace, max_open, log } = parts;
         let driver = Driver {
             balancer,
-            start,
-            start_ms,
-            transport,
+            clock,
+            dispatch,
+            log,
             drain_grace,
             max_open,
             last: f64::INFINITY,
@@ -247,7 +193,7 @@
 
     /// Fires timers for ever.
     pub async fn run(&self) {
-        self.0.driver.borrow_mut().set_timer(Instant::now() + SWEEP, Due::Sweep);
+        self.set_sweep();
         loop {
             let next = self.0.driver.borrow().timers.first_key_value().map(|(&(at, _), _)| at);
             match next {
@@ -266,15 +212,28 @@
         match due {
             Due::Module(token) => self.feed(Event::Timer(token)),
             Due::Attempt(id, number) => self.ended(id, number, Ending::Timeout, None),
-            Due::Sweep => {
-                let mut d = self.0.driver.borrow_mut();
-                let now = Instant::now();
-                for (upstream, ..) in d.upstreams.values() {
-                    upstream.sweep(now, d.transport.idle);
-                }
-                d.set_timer(now + SWEEP, Due::Sweep);
+            Due::Sweep => self.sweep(),
+        }
+    }
+
+    /// Sets the timer for the next look at idle connections, if there can be any.
+    fn set_sweep(&self) {
+        let mut d = self.0.driver.borrow_mut();
+        if d.dispatch.idle_limit().is_some() {
+            d.set_timer(Instant::now() + SWEEP, Due::Sweep);
+        }
+    }
+
+    fn sweep(&self) {
+        {
+            let d = self.0.driver.borrow();
+            let Some(idle_limit) = d.dispatch.idle_limit() else { return };
+            let now = Instant::now();
+            for (upstream, ..) in d.upstreams.values() {
+                upstream.sweep(now, idle_limit);
             }
         }
+        self.set_sweep();
     }
 
     /// Whether upstreams are known, so that requests can be served.
@@ -291,7 +250,7 @@
     /// Requests that are taken from now on have their answer after this time at the latest.
     pub fn ends_by(&self, time: Duration) {
         let mut d = self.0.driver.borrow_mut();
-        d.last = d.now() + time.as_secs_f64() * 1000.0;
+        d.last = d.now() + to_millis(time);
     }
 
     /// Ends every request that is open: no answer of its own comes in time. It may have run.
@@ -315,34 +274,20 @@
         self.0.driver.borrow_mut().free_socket();
     }
 
-    /// Waits until the module subscribes to the list.
-    pub async fn subscribed(&self) {
-        self.0.subscribe.notified().await;
-    }
-
     /// Waits until discovery has answered.
     pub async fn told(&self) {
         self.0.told.notified().await;
     }
 
-    /// Takes the saved list.
-    pub fn cached(&self, listing: Option<&Listing>) {
-        let members = listing.iter().flat_map(|l| l.members()).collect();
-        if let Some(listing) = listing {
-            self.0.driver.borrow_mut().note_list(listing, true);
+    /// Takes the cached snapshot.
+    pub fn apply_cached(&self, snapshot: Option<&EndpointUpdate>) {
+        let members = snapshot.iter().flat_map(|snapshot| snapshot.members()).collect();
+        if let Some(snapshot) = snapshot {
+            self.0.driver.borrow_mut().apply_endpoints(snapshot, true);
         }
         self.feed(Event::Membership(Membership::Cached(members)));
     }
 
-    /// Takes an answer of discovery.
-    pub fn listed(&self, listing: &Listing) {
-        self.0.driver.borrow_mut().note_list(listing, listing.full);
-        let members = listing.members().collect();
-        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
-        self.feed(Event::Membership(news));
-        self.0.told.notify_one();
-    }
-
     /// Whether an upstream of this name is listed or left out by staff.
     pub fn knows(&self, name: &str) -> bool {
         let (d, id) = (self.0.driver.borrow(), upstream_id(name));
@@ -377,11 +322,6 @@
         d.balancer.upstreams(d.now())
     }
 
-    /// A call for the list failed or the watch broke.
-    pub fn list_failed(&self) {
-        self.feed(Event::Membership(Membership::Failed));
-    }
-
     /// Takes a request: from now on one final answer is owed.
     pub fn take(
         &self,
@@ -410,7 +350,7 @@
             let deadline = match &out.body {
                 Payload::Whole(_) => (d.now() + patience).min(d.last),
                 Payload::Upload(upload) => {
-                    upload.belongs_to(Requested(self.clone(), id));
+                    upload.observe(Box::new(OpenRequest { handle: self.clone(), id }));
                     f64::INFINITY
                 }
             };
@@ -438,7 +378,7 @@
             let Some(open) = d.open.get_mut(&id) else { return };
             open.deadline = (now + open.patience).min(last);
             let (deadline, number) = (open.deadline, open.sends.wrapping_sub(1));
-            let until = Instant::now() + span(deadline - now);
+            let until = Instant::now() + from_millis(deadline - now);
             let due = d.set_timer(until, Due::Attempt(id, number));
             match d.attempts.get_mut(&(id, number)) {
                 // One whose answer has begun already has no time-out.
@@ -525,7 +465,7 @@
                 d.set_timer(Instant::now() + after, Due::Module(token));
                 self.0.timers.notify_one();
             }
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => d.log.line(&line),
         }
     }
 
@@ -550,16 +490,16 @@
         let whole = open.deadline.is_finite();
         let left = if whole { (open.deadline - now_ms).max(0.0) } else { open.patience };
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
-        let until = now + span(wait);
+        let until = now + from_millis(wait);
         open.running += 1;
         let out = open.out.clone();
-        let (transport, handle) = (d.transport.clone(), self.clone());
-        if target.oldest_idle().is_none() && transport.sockets.exhausted() {
+        let (dispatch, handle) = (d.dispatch.clone(), self.clone());
+        if target.oldest_idle().is_none() && dispatch.sockets_exhausted() {
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
             let begun = |answer| handle.begun(id, number, answer);
-            let (ending, answer) = transport.attempt(target, out, until, begun).await;
+            let (ending, answer) = dispatch.attempt(target, out, until, begun).await;
             handle.ended(id, number, ending, answer);
         });
         let due = whole.then(|| d.set_timer(until, Due::Attempt(id, number)));
@@ -570,9 +510,27 @@
     }
 }
 
+impl EndpointConsumer for Handle {
+    async fn subscribed(&self) {
+        self.0.subscribe.notified().await;
+    }
+
+    fn apply(&self, update: &EndpointUpdate) {
+        self.0.driver.borrow_mut().apply_endpoints(update, update.full);
+        let members = update.members().collect();
+        let membership = if update.full { Membership::Full(members) } else { Membership::Delta(members) };
+        self.feed(Event::Membership(membership));
+        self.0.told.notify_one();
+    }
+
+    fn update_failed(&self) {
+        self.feed(Event::Membership(Membership::Failed));
+    }
+}
+
 impl Driver {
     fn now(&self) -> Millis {
-        self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
+        self.clock.now()
     }
 
     fn set_timer(&mut self, at: Instant, due: Due) -> (Instant, u64) {
@@ -590,7 +548,7 @@
             self.timers.remove(due);
         }
         self.forget_upstream(attempt.upstream);
-        let duration = attempt.took().as_secs_f64() * 1000.0;
+        let duration = to_millis(attempt.took());
         let mut closed = true;
         if let Some(open) = self.open.get_mut(&id) {
             open.running -= 1;
@@ -638,27 +596,27 @@
     }
 
     /// Keeps addresses and connections in step with the list.
-    fn note_list(&mut self, listing: &Listing, whole: bool) {
+    fn apply_endpoints(&mut self, update: &EndpointUpdate, full: bool) {
         let closes = Instant::now() + self.drain_grace;
         let close = |upstream: &Upstream| {
             upstream.closes.set(Some(upstream.closes.get().unwrap_or(closes)));
             upstream.close_idle();
         };
-        self.listed |= !listing.entries.is_empty();
-        if whole {
+        self.listed |= !update.endpoints.is_empty();
+        if full {
             for (id, (upstream, availability, _)) in &mut self.upstreams {
-                if !listing.entries.iter().any(|e| e.member.id == *id) {
+                if !update.endpoints.iter().any(|endpoint| endpoint.member.id == *id) {
                     *availability = Availability::Gone;
                     close(upstream);
                 }
             }
         }
-        for entry in &listing.entries {
-            let m = &entry.member;
-            let fresh = || (Upstream::new(entry.addr), m.availability, m.since);
+        for endpoint in &update.endpoints {
+            let m = &endpoint.member;
+            let fresh = || (Upstream::new(endpoint.address), m.availability, m.since);
             let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
             // Another address or another start: the old connections lead nowhere.
-            if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
+            if upstream.addr.replace(endpoint.address) != endpoint.address || *since != m.since {
                 upstream.replaced();
             }
             (*availability, *since) = (m.availability, m.since);
--- /dev/null
+++ b/node/src/hollow.rs
@@ -0,0 +1,171 @@
+//! Hollow balancers: the decision module, the discovery client and the endpoint state of a balancer, without the
+//! sockets to clients and to upstreams. Thousands of them run on one thread.
+//!
+//! Each holds one connection to discovery, which counts against the process's limit of file descriptors.
+use crate::clock::{to_millis, Clock};
+use crate::control::{Control, ControlOptions};
+use crate::dispatch::Dispatch;
+use crate::driver::Handle;
+use crate::endpoints::{EndpointConsumer, EndpointUpdate};
+use crate::log::Log;
+use crate::message::{Answer, Outgoing, Untaken};
+use hyper::{HeaderMap, Method, Uri};
+use oakflow_settings::Deployment;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// What a hollow balancer starts from.
+#[derive(Clone, Copy, Debug)]
+pub struct HollowOptions<'a> {
+    /// The settings.
+    pub deployment: &'a Deployment,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The cached snapshot of the endpoints, if there is one: only what is newer is then asked for.
+    pub known: Option<&'a EndpointUpdate>,
+    /// Feeds the decision module's random choices.
+    pub seed: u64,
+    /// Where log lines go.
+    pub log: Log,
+}
+
+/// An update of the endpoints that a balancer has put in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AppliedUpdate {
+    /// The version that discovery gave it.
+    pub version: u64,
+    /// Whether it was the whole list.
+    pub full: bool,
+    /// How many endpoints it held.
+    pub endpoints: usize,
+    /// When it was in force: the decision module and the endpoint state had taken it.
+    pub applied_at: SystemTime,
+}
+
+/// How a request at a hollow balancer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOutcome {
+    /// The decision module sent it to an upstream, which would have served it.
+    Served,
+    /// Refused: another try does no harm.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// How many endpoints a balancer knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointCounts {
+    /// Endpoints that are listed: ready or draining.
+    pub listed: usize,
+    /// Of these, those that requests avoid now.
+    pub avoided: usize,
+}
+
+/// A balancer without sockets to clients and upstreams. It ends when dropped.
+pub struct HollowBalancer {
+    handle: Handle,
+    tasks: [AbortHandle; 2],
+    /// Kept, as the discovery client ends without it.
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl HollowBalancer {
+    /// Starts a balancer, which connects to discovery at once. `on_update` is called for each update once it is in
+    /// force, but not for the cached snapshot. Fails if the settings are invalid.
+    ///
+    /// # Panics
+    ///
+    /// Outside a `tokio::task::LocalSet`.
+    pub fn start(
+        options: HollowOptions,
+        on_update: impl Fn(AppliedUpdate) + 'static,
+    ) -> Result<HollowBalancer, String> {
+        let (discovery, addresses) = watch::channel(options.discovery);
+        let control = Control::start(ControlOptions {
+            deployment: options.deployment,
+            seed: options.seed,
+            clock: Clock::start(),
+            dispatch: Dispatch::Hollow,
+            known: options.known,
+            discovery: addresses,
+            log: options.log,
+        })?;
+        let handle = control.handle;
+        let consumer = ObservedConsumer { handle: handle.clone(), on_update };
+        let client = tokio::task::spawn_local(control.discovery.run(consumer));
+        let tasks = [control.timers.abort_handle(), client.abort_handle()];
+        Ok(HollowBalancer { handle, tasks, discovery })
+    }
+
+    /// Moves the discovery client to another address, as a reload of the configuration does.
+    pub fn move_discovery(&self, address: SocketAddr) {
+        self.discovery.send_replace(address);
+    }
+
+    /// How many endpoints are known. Looks at each of them.
+    pub fn endpoints(&self) -> EndpointCounts {
+        let (listed, avoided) = self.handle.upstreams();
+        EndpointCounts { listed, avoided }
+    }
+
+    /// Feeds the decision module a request of a class and tenant, given by their positions in the settings, which waits
+    /// for this long at most. Whatever upstream the module picks serves it at once.
+    pub async fn request(&self, class: usize, tenant: usize, deadline: Duration) -> RequestOutcome {
+        match self.handle.take(class, tenant, to_millis(deadline), empty_request()) {
+            Ok(waiting) => match waiting.answer().await {
+                Answer::Served { .. } => RequestOutcome::Served,
+                Answer::Refused { .. } => RequestOutcome::Refused,
+                Answer::Unusable(_) | Answer::Unsent(_) | Answer::Failed => RequestOutcome::Failed,
+            },
+            Err(Untaken::Full | Untaken::Known) => RequestOutcome::Refused,
+        }
+    }
+}
+
+impl Drop for HollowBalancer {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// Hands updates to the driver and reports those that are in force.
+struct ObservedConsumer<F> {
+    handle: Handle,
+    on_update: F,
+}
+
+impl<F: Fn(AppliedUpdate)> EndpointConsumer for ObservedConsumer<F> {
+    async fn subscribed(&self) {
+        self.handle.subscribed().await;
+    }
+
+    fn apply(&self, update: &EndpointUpdate) {
+        self.handle.apply(update);
+        (self.on_update)(AppliedUpdate {
+            version: update.version,
+            full: update.full,
+            endpoints: update.endpoints.len(),
+            applied_at: SystemTime::now(),
+        });
+    }
+
+    fn update_failed(&self) {
+        self.handle.update_failed();
+    }
+}
+
+/// A request that nothing is written of.
+fn empty_request() -> Outgoing {
+    Outgoing {
+        name: None,
+        method: Method::GET,
+        target: Uri::default(),
+        headers: HeaderMap::new(),
+        body: crate::body::Payload::Whole(bytes::Bytes::new()),
+        over: Cell::new(false),
+    }
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,31 @@
+//! herondock: a load balancer on real sockets around the decision module `oakflow`.
+//!
+//! [`program`] is the balancer as a process. [`hollow`] runs many balancers without traffic in one process, to measure
+//! what knowing the endpoints costs and how long a change of them takes. Both start the same control part: the decision
+//! module in its driver, and the discovery client.
+//!
+//! Modules depend on one another in one direction only: `endpoints`, `body` and `message` hold what is exchanged;
+//! `upstream` and `dispatch` carry attempts out; `driver` owns the decision module and uses these; `discovery` knows
+//! only the consumer of its updates; `control` joins them; `server`, `ops` and `program` come last.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+pub mod config;
+pub mod endpoints;
+pub mod hollow;
+pub mod log;
+pub mod program;
+
+mod body;
+mod clock;
+mod control;
+mod discovery;
+mod dispatch;
+mod driver;
+mod inbound;
+mod message;
+mod metrics;
+mod ops;
+mod orders;
+mod server;
+mod sockets;
+mod upstream;
--- /dev/null
+++ b/node/src/message.rs
@@ -0,0 +1,54 @@
+//! What the parts of a balancer hand one another about a request: the request as it goes to upstreams, and its answer.
+use crate::body::{Content, Fault, Payload};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode, Uri};
+use oakflow::Millis;
+use std::cell::Cell;
+
+/// A request as it goes on to upstreams.
+pub struct Outgoing {
+    /// The caller's id for it.
+    pub name: Option<HeaderValue>,
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Payload,
+    /// Set when the request has ended: what has not been written for it by then must not be.
+    pub over: Cell<bool>,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's answer.
+    Served {
+        /// Its end-to-end headers.
+        headers: HeaderMap,
+        /// Its body.
+        body: Content,
+    },
+    /// Refused: another try does no harm.
+    Refused {
+        /// How long the client should stay away; zero: no advice.
+        retry_after: Millis,
+    },
+    /// Turned away by the upstream as something it can't use.
+    Unusable(StatusCode),
+    /// Its body did not come as it should.
+    Unsent(Fault),
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+/// Why a request was not taken.
+#[derive(Debug)]
+pub enum Untaken {
+    /// As many are open as may be.
+    Full,
+    /// One with its id is open.
+    Known,
+}
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -1,6 +1,7 @@
 //! The operators' door: one line to a connection, one answer that begins with `YES` or `NO`. It hands calls on and
 //! decides nothing.
-use crate::driver::{unix_ms, Handle};
+use crate::clock::unix_ms;
+use crate::driver::Handle;
 use crate::metrics::Figures;
 use crate::orders::{Alone, Orders, Store};
 use crate::server::Phase;
--- /dev/null
+++ b/node/src/program.rs
@@ -0,0 +1,270 @@
+//! The balancer as a process: start-up, signals and wiring; see the README.
+use crate::clock::{from_millis, Clock};
+use crate::config::Config;
+use crate::control::{Control, ControlOptions};
+use crate::dispatch::Dispatch;
+use crate::driver::Handle;
+use crate::log::Log;
+use crate::metrics::Figures;
+use crate::ops::{self, Door};
+use crate::orders::Store;
+use crate::server::{Phase, Server};
+use crate::sockets::Sockets;
+use crate::upstream::Transport;
+use oakflow::Millis;
+use oakflow_settings::Deployment;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// New connections go on coming for this long after SIGTERM, with some room.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// SIGKILL comes this long after the longest deadline has passed since SIGTERM, at the soonest; a deadline longer than
+/// [`DEADLINE_MOST`] counts as that.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// The last answers get this long to reach their callers before that, and the program ends so long before it.
+const ANSWERS_REACH: Duration = Duration::from_millis(200);
+const ENDS_BEFORE: Duration = Duration::from_millis(50);
+/// How often it is looked at whether anything is still being passed on.
+const LOOK: Duration = Duration::from_millis(100);
+/// Times in the settings that are longer than a day, in milliseconds, count as a day.
+const LONGEST_SETTING: Millis = 86_400_000.0;
+/// Whoever does not kill it by then gets no more of them.
+const LAST_PASSED_ON: Duration = Duration::from_secs(30);
+
+/// When the stages of the end come, counted from SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Ending {
+    /// Until then kept connections are served on. Guards against callers that find no other balancer: closed sooner,
+    /// they would have to connect to one that may be starting again itself.
+    serving: Duration,
+    /// What is open by then is answered, and what is taken after SIGTERM is due by then.
+    answered: Duration,
+    /// The program ends, but for answers that are being passed on: those it would cut off itself.
+    last: Duration,
+}
+
+impl Ending {
+    /// Where the longest deadline of all classes is this.
+    fn of(longest: Duration) -> Ending {
+        let killed = longest.min(DEADLINE_MOST) + KILLED_AFTER;
+        let answered = killed - ANSWERS_REACH;
+        // The last third is left to what was taken before it, so that little has to be failed in the end.
+        Ending { serving: (answered * 2 / 3).max(STILL_ACCEPTING), answered, last: killed - ENDS_BEFORE }
+    }
+}
+
+fn load() -> Result<Config, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let mut config = Config::parse(&text)?;
+    if let (None, Some(ops)) = (config.ops, std::env::var("NODE_OPS").ok().filter(|ops| !ops.is_empty())) {
+        config.ops = Some(ops.parse().map_err(|e| format!("NODE_OPS: {ops:?}: {e}"))?);
+    }
+    Ok(config)
+}
+
+/// Runs the balancer until it is told to end.
+pub fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = runtime
+        .map_err(|e| e.to_string())
+        .and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run()));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("herondock: {}", message.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Follows the configuration: at each signal its file is read again. Only where discovery is can change while
+/// the program runs; a file that cannot be read changes nothing.
+async fn follow(mut hup: Signal, discovery: watch::Sender<SocketAddr>, figures: Rc<Figures>) {
+    while hup.recv().await.is_some() {
+        let loaded = load();
+        figures.reloaded(loaded.is_ok());
+        match loaded {
+            Ok(config) => {
+                discovery
+                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+            }
+            Err(message) => eprintln!("herondock: not reloaded: {}", message.replace('\n', " ")),
+        }
+    }
+}
+
+/// A listener for callers. Where there is an operators' door, another process of this balancer may listen there too.
+fn listen_at(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The signals that the program catches.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn catch() -> Result<Signals, String> {
+        let catch = |kind| signal(kind).map_err(|e| e.to_string());
+        Ok(Signals {
+            hangup: catch(SignalKind::hangup())?,
+            terminate: catch(SignalKind::terminate())?,
+            interrupt: catch(SignalKind::interrupt())?,
+        })
+    }
+}
+
+/// The sockets' side of attempts.
+fn transport(deployment: &Deployment, budget: &Sockets, figures: &Figures) -> Transport {
+    Transport::new(
+        from_millis(deployment.dial_timeout),
+        from_millis(deployment.policy.idle_close.min(LONGEST_SETTING)),
+        budget.clone(),
+        figures.tries(),
+    )
+}
+
+/// Opens the operators' door, if there is one.
+async fn open_door(
+    name: &str,
+    ops: Option<SocketAddr>,
+    make: impl FnOnce(Store) -> Rc<Door>,
+) -> Result<Option<Rc<Door>>, String> {
+    let Some(ops) = ops else { return Ok(None) };
+    let failed = |e: io::Error| format!("ops: {ops}: {e}");
+    let listener = TcpListener::bind(ops).await.map_err(failed)?;
+    eprintln!("{name}: operators call at {}", listener.local_addr().map_err(failed)?);
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
+    let door = make(Store::new(folder));
+    tokio::task::spawn_local(door.clone().run(listener));
+    door.prepare().await;
+    Ok(Some(door))
+}
+
+async fn run() -> Result<(), String> {
+    // Before anything else: a signal that is not caught ends the program.
+    let Signals { hangup, mut terminate, mut interrupt } = Signals::catch()?;
+    let clock = Clock::start();
+    let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = load()?;
+    let known = known.unwrap_or_else(|e| {
+        eprintln!("{name}: known: {}: passed over", e.replace('\n', " "));
+        None
+    });
+    let longest = deployment.policy.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let ending = Ending::of(from_millis(longest.min(LONGEST_SETTING)));
+    let figures = Figures::new(&deployment.classes);
+    let budget = Sockets::new(sockets.saturating_sub(if ops.is_some() { ops::DESCRIPTORS } else { 0 }));
+    let (address_of_discovery, addresses) = watch::channel(discovery);
+    let Control { handle, timers, discovery } = Control::start(ControlOptions {
+        deployment: &deployment,
+        seed,
+        clock,
+        dispatch: Dispatch::Sockets(transport(&deployment, &budget, &figures)),
+        known: known.as_ref(),
+        discovery: addresses,
+        log: Log::StandardError,
+    })?;
+    tokio::task::spawn_local(follow(hangup, address_of_discovery, figures.clone()));
+    tokio::task::spawn_local(discovery.run(handle.clone()));
+    let (phase, phases) = watch::channel(Phase::Starting);
+    let phase = Rc::new(phase);
+    let make_door = |store| {
+        let ramp_time = deployment.policy.ramp_time;
+        Door::new(handle.clone(), figures.clone(), budget.clone(), phase.clone(), store, ramp_time)
+    };
+    let door = open_door(&name, ops, make_door).await?;
+    let failed = |e: io::Error| format!("listen: {listen}: {e}");
+    let listener = listen_at(listen, door.is_some()).map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let server = Server::new(handle.clone(), deployment, budget, figures, phases);
+    let served = tokio::task::spawn_local(server.run(listener));
+    match &door {
+        Some(door) => door.serve().await,
+        None => drop(phase.send_replace(Phase::Up)),
+    }
+    eprintln!("{name}: serving on {address}");
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        // Without timers no request would end: better to stop at once, seen by all.
+        end = timers => return Err(format!("the timers stopped: {end:?}")),
+    }
+    eprintln!("{name}: told to end");
+    let told = Instant::now();
+    handle.ends_by(ending.answered);
+    close_phases(told, ending, door.as_deref(), &phase).await;
+    finish(&name, told, ending, handle, served).await;
+    Ok(())
+}
+
+/// Takes the program through the phases of its end, until connections are closed.
+async fn close_phases(told: Instant, ending: Ending, door: Option<&Door>, phase: &watch::Sender<Phase>) {
+    let succeeded = match door {
+        Some(door) => door.succeeded().await,
+        None => false,
+    };
+    if succeeded {
+        // Staff that sent clients away mean this process too.
+        let paused = *phase.borrow() == Phase::Paused;
+        phase.send_replace(if paused { Phase::Closing } else { Phase::Succeeded });
+        return;
+    }
+    for (after, next) in [
+        (Duration::ZERO, Phase::Leaving),
+        (STILL_ACCEPTING, Phase::Draining),
+        (ending.serving, Phase::Closing),
+    ] {
+        tokio::time::sleep_until(told + after).await;
+        phase.send_replace(next);
+    }
+}
+
+/// Waits until all callers are served, for as long as the end allows.
+async fn finish(name: &str, told: Instant, ending: Ending, handle: Handle, served: JoinHandle<()>) {
+    let open = handle.clone();
+    let served = async move {
+        tokio::pin!(served);
+        tokio::select! {
+            done = &mut served => return done,
+            () = tokio::time::sleep_until(told + ending.answered) => handle.fail_open(),
+        }
+        served.await
+    };
+    tokio::pin!(served);
+    let mut until = told + ending.last;
+    while tokio::time::timeout_at(until, &mut served).await.is_err() {
+        if open.active() == 0 || until >= told + LAST_PASSED_ON {
+            eprintln!("{name}: callers are still connected at the end, {} answers cut off", open.active());
+            break;
+        }
+        if until == told + ending.last {
+            eprintln!("{name}: {} answers are still being passed on", open.active());
+        }
+        until += LOOK;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Attempts: one request to one upstream, once; and the connections that are kept for the next.
 use crate::body::{frames, Content, Fault, Giver, Payload, Tried, BODY_MOST, STALLED, WHOLE_MOST};
-use crate::driver::{Answer, Outgoing};
 use crate::inbound::{Shared, Written, HEAD_MOST};
+use crate::message::{Answer, Outgoing};
 use crate::sockets::Sockets;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
--- /dev/null
+++ b/node/tests/hollow.rs
@@ -0,0 +1,248 @@
+//! Hollow balancers in one process against a stand-in of discovery, on a loopback port.
+mod common;
+
+use common::{config, listing, read, PATIENCE};
+use herondock::config::Config;
+use herondock::hollow::{AppliedUpdate, HollowBalancer, HollowOptions, RequestOutcome};
+use herondock::log::Log;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+const BALANCERS: usize = 40;
+const ENDPOINTS: usize = 30;
+/// A time longer than any that an agent has to bring a change within.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
+
+/// The endpoints by number: the version of their last change, their address and state.
+struct Endpoints {
+    version: u64,
+    by_number: BTreeMap<usize, (u64, SocketAddr, &'static str)>,
+}
+
+impl Endpoints {
+    /// The whole list, or what is newer than a version.
+    fn answer(&self, since: Option<u64>) -> String {
+        let newer = |changed: &u64| since.is_none_or(|since| *changed > since);
+        let listed = |state: &str| since.is_some() || state != "left";
+        let servers: Vec<_> = self
+            .by_number
+            .iter()
+            .filter(|(_, (changed, _, state))| newer(changed) && listed(state))
+            .map(|(&number, &(_, addr, state))| (number, addr, state))
+            .collect();
+        listing(self.version, since.is_none(), &servers)
+    }
+}
+
+/// Answers calls for the whole list, and watches once there is something newer or their time is over.
+#[derive(Clone)]
+struct EndpointService {
+    addr: SocketAddr,
+    shared: Arc<(Mutex<Endpoints>, Condvar)>,
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+impl EndpointService {
+    fn start(endpoints: usize) -> EndpointService {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let by_number = (0..endpoints).map(|number| (number, (1, endpoint_address(number), "active")));
+        let endpoints = Endpoints { version: 1, by_number: by_number.collect() };
+        let shared = Arc::new((Mutex::new(endpoints), Condvar::new()));
+        let service = EndpointService { addr, shared, calls: Arc::default() };
+        let accepting = service.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let service = accepting.clone();
+                thread::spawn(move || service.serve(stream));
+            }
+        });
+        service
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        while let Some(call) = read(&mut stream) {
+            let path = call.start.split(' ').nth(1).expect("a path").to_string();
+            let since = parameter(&path, "since");
+            let wait = parameter(&path, "timeout_ms").map_or(Duration::ZERO, Duration::from_millis);
+            self.calls.lock().expect("no panic").push(path);
+            let (endpoints, changed) = &*self.shared;
+            let waits = |endpoints: &mut Endpoints| since.is_some_and(|since| endpoints.version <= since);
+            let guard = endpoints.lock().expect("no panic");
+            let (guard, _) = changed.wait_timeout_while(guard, wait, waits).expect("no panic");
+            let body = guard.answer(since);
+            drop(guard);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.get_mut().write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Changes one endpoint, and tells the new version.
+    fn change(&self, number: usize, state: &'static str) -> u64 {
+        let (endpoints, changed) = &*self.shared;
+        let mut endpoints = endpoints.lock().expect("no panic");
+        endpoints.version += 1;
+        let version = endpoints.version;
+        endpoints.by_number.insert(number, (version, endpoint_address(number), state));
+        changed.notify_all();
+        version
+    }
+
+    fn calls(&self) -> Vec<String> {
+        self.calls.lock().expect("no panic").clone()
+    }
+}
+
+fn parameter(path: &str, name: &str) -> Option<u64> {
+    let (_, query) = path.split_once('?')?;
+    let (_, value) = query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name)?;
+    value.parse().ok()
+}
+
+/// An address that nothing is ever connected to.
+fn endpoint_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 20_000 + number as u16))
+}
+
+/// The configuration of a balancer whose list is pushed, or that has to ask for it.
+fn parsed_config(service: &EndpointService, mode: &str, known: &str) -> Config {
+    let text = config(service.addr, 64, known).replace("on_request", mode);
+    Config::parse(text.as_bytes()).expect("a configuration")
+}
+
+/// Balancers that report the updates they applied, by their number.
+struct Fleet {
+    balancers: Vec<HollowBalancer>,
+    updates: UnboundedReceiver<(usize, AppliedUpdate)>,
+}
+
+impl Fleet {
+    fn start(config: &Config, count: usize) -> Fleet {
+        let (report, updates) = unbounded_channel();
+        let known = config.known.as_ref().expect("a list that can be read").as_ref();
+        let start = |number: usize| {
+            let options = HollowOptions {
+                deployment: &config.deployment,
+                discovery: config.discovery,
+                known,
+                seed: number as u64,
+                log: Log::Discard,
+            };
+            let report = report.clone();
+            let on_update = move |update| {
+                // Nobody listens any more when the test is over.
+                let _ = report.send((number, update));
+            };
+            HollowBalancer::start(options, on_update).expect("valid settings")
+        };
+        Fleet { balancers: (0..count).map(start).collect(), updates }
+    }
+
+    /// Waits until all have applied a version, and returns the update with which each of them did.
+    async fn in_force(&mut self, version: u64) -> Vec<AppliedUpdate> {
+        let mut applied = BTreeMap::new();
+        while applied.len() < self.balancers.len() {
+            let next = timeout(PATIENCE, self.updates.recv()).await.expect("an update in time");
+            let (number, update) = next.expect("the balancers run");
+            if update.version >= version {
+                applied.entry(number).or_insert(update);
+            }
+        }
+        applied.into_values().collect()
+    }
+
+    fn listed(&self) -> Vec<usize> {
+        self.balancers.iter().map(|balancer| balancer.endpoints().listed).collect()
+    }
+}
+
+fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Whole list, change and removal reach every balancer, as the wall clock tells.
+fn changes_reach_all(mode: &str) {
+    on_one_thread(async {
+        let service = EndpointService::start(ENDPOINTS);
+        let mut fleet = Fleet::start(&parsed_config(&service, mode, "null"), BALANCERS);
+        for first in fleet.in_force(1).await {
+            assert!(first.full && first.endpoints == ENDPOINTS, "{mode}: {first:?}");
+        }
+        assert_eq!(fleet.listed(), [ENDPOINTS; BALANCERS], "{mode}");
+
+        for (number, state, listed) in [(ENDPOINTS, "active", ENDPOINTS + 1), (3, "left", ENDPOINTS)] {
+            let changed_at = SystemTime::now();
+            let version = service.change(number, state);
+            for update in fleet.in_force(version).await {
+                assert!(!update.full && update.endpoints == 1, "{mode}: {update:?}");
+                let took = update.applied_at.duration_since(changed_at).expect("it is applied afterwards");
+                assert!(took < IN_FORCE_WITHIN, "{mode}: {took:?}");
+            }
+            assert_eq!(fleet.listed(), [listed; BALANCERS], "{mode}");
+        }
+    });
+}
+
+#[test]
+fn changes_are_in_force_at_all_balancers_whose_list_is_pushed() {
+    changes_reach_all("pushed");
+}
+
+#[test]
+fn changes_are_in_force_at_all_balancers_that_ask_for_the_list() {
+    changes_reach_all("on_request");
+}
+
+/// A balancer that starts with a cached snapshot asks only for what is newer.
+#[test]
+fn a_cached_snapshot_saves_the_whole_list() {
+    on_one_thread(async {
+        let service = EndpointService::start(ENDPOINTS);
+        let known = service.shared.0.lock().expect("no panic").answer(None);
+        let version = service.change(3, "leaving");
+        let mut fleet = Fleet::start(&parsed_config(&service, "pushed", &known), 1);
+        assert_eq!(fleet.listed(), [ENDPOINTS], "the snapshot is in force at once");
+        let update = fleet.in_force(version).await[0];
+        assert!(!update.full && update.endpoints == 1, "{update:?}");
+        assert!(service.calls()[0].starts_with("/api/targets?since=1&"), "{:?}", service.calls());
+    });
+}
+
+#[test]
+fn requests_are_decided_and_served_at_once() {
+    on_one_thread(async {
+        let service = EndpointService::start(ENDPOINTS);
+        let mut fleet = Fleet::start(&parsed_config(&service, "pushed", "null"), 1);
+        let patience = Duration::from_secs(1);
+        let before = fleet.balancers[0].request(0, 0, patience).await;
+        assert_eq!(before, RequestOutcome::Refused, "no endpoint is known yet");
+        fleet.in_force(1).await;
+        let outcome = fleet.balancers[0].request(0, 0, patience).await;
+        assert_eq!(outcome, RequestOutcome::Served);
+    });
+}
+
+#[test]
+fn a_dropped_balancer_ends() {
+    on_one_thread(async {
+        let service = EndpointService::start(ENDPOINTS);
+        let mut fleet = Fleet::start(&parsed_config(&service, "pushed", "null"), BALANCERS);
+        fleet.in_force(1).await;
+        fleet.balancers.clear();
+        // The last sender goes with the last balancer's tasks.
+        let ended = timeout(PATIENCE, async { while fleet.updates.recv().await.is_some() {} }).await;
+        assert!(ended.is_ok(), "a balancer still runs");
+    });
+}
