Keep the known endpoints in a module of their own, whole lists in linear time

Cause: the driver kept them as tuples beside everything else, and compared every known endpoint with every entry of a whole list.

Change: `endpoint_table` owns them, with named fields; a whole list is looked up in a set. The driver keeps only what needs its attempts: when an endpoint that is gone may be forgotten. A test of whole lists is added to tests/hollow.rs.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,14 +3,12 @@
 use crate::body::{Payload, UploadObserver};
 use crate::clock::{from_millis, to_millis, Clock};
 use crate::dispatch::Dispatch;
+use crate::endpoint_table::EndpointTable;
 use crate::endpoints::{upstream_id, EndpointConsumer, EndpointUpdate};
 use crate::log::Log;
 use crate::message::{Answer, Outgoing, Untaken};
-use crate::upstream::Upstream;
 use hyper::header::HeaderValue;
-use oakflow::{
-    Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
-};
+use oakflow::{Action, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -91,7 +89,6 @@
     clock: Clock,
     dispatch: Dispatch,
     log: Log,
-    drain_grace: Duration,
     max_open: usize,
     /// Every request has its answer by then.
     last: Millis,
@@ -100,12 +97,10 @@
     /// The callers' names of the requests that are open.
     names: HashSet<HeaderValue>,
     attempts: HashMap<(RequestId, u32), Attempt>,
-    /// Every upstream that the module may name: those listed, and those with attempts out.
-    upstreams: HashMap<UpstreamId, (Rc<Upstream>, Availability, Millis)>,
+    endpoints: EndpointTable,
     timers: BTreeMap<(Instant, u64), Due>,
     timer_seq: u64,
     events: VecDeque<Event>,
-    listed: bool,
 }
 
 struct Shared {
@@ -169,18 +164,16 @@
             clock,
             dispatch,
             log,
-            drain_grace,
             max_open,
             last: f64::INFINITY,
             next_id: 0,
             open: HashMap::new(),
             names: HashSet::new(),
             attempts: HashMap::new(),
-            upstreams: HashMap::new(),
+            endpoints: EndpointTable::new(drain_grace),
             timers: BTreeMap::new(),
             timer_seq: 0,
             events: VecDeque::new(),
-            listed: false,
         };
         let shared = Shared {
             driver: RefCell::new(driver),
@@ -228,17 +221,14 @@
         {
             let d = self.0.driver.borrow();
             let Some(idle_limit) = d.dispatch.idle_limit() else { return };
-            let now = Instant::now();
-            for (upstream, ..) in d.upstreams.values() {
-                upstream.sweep(now, idle_limit);
-            }
+            d.endpoints.sweep(idle_limit);
         }
         self.set_sweep();
     }
 
     /// Whether upstreams are known, so that requests can be served.
     pub fn ready(&self) -> bool {
-        self.0.driver.borrow().listed
+        self.0.driver.borrow().endpoints.ever_listed()
     }
 
     /// Requests that have come whole and have not ended: they wait for an answer, or it is being passed on.
@@ -271,7 +261,7 @@
 
     /// Closes an idle connection to an upstream, if there is one: its socket is needed elsewhere.
     pub fn free_socket(&self) {
-        self.0.driver.borrow_mut().free_socket();
+        self.0.driver.borrow().endpoints.close_oldest_idle();
     }
 
     /// Waits until discovery has answered.
@@ -291,28 +281,20 @@
     /// Whether an upstream of this name is listed or left out by staff.
     pub fn knows(&self, name: &str) -> bool {
         let (d, id) = (self.0.driver.borrow(), upstream_id(name));
-        d.balancer.suspends(id) || d.upstreams.get(&id).is_some_and(|(_, a, _)| *a != Availability::Gone)
+        d.balancer.suspends(id) || d.endpoints.lists(id)
     }
 
     /// Staff leave an upstream out from now on. What is out may end; nothing more is written there.
     pub fn suspend(&self, name: &str) {
         let id = upstream_id(name);
-        if let Some((upstream, ..)) = self.0.driver.borrow().upstreams.get(&id) {
-            upstream.closes.set(Some(Instant::now()));
-            upstream.close_idle();
-        }
+        self.0.driver.borrow().endpoints.suspend(id);
         self.feed(Event::Suspend(id));
     }
 
     /// Staff use an upstream again, since then. It was restarted while it was left out.
     pub fn restore(&self, name: &str, since: Millis) {
         let id = upstream_id(name);
-        if let Some((upstream, availability, _)) = self.0.driver.borrow().upstreams.get(&id) {
-            upstream.replaced();
-            if *availability == Availability::Ready {
-                upstream.closes.set(None);
-            }
-        }
+        self.0.driver.borrow().endpoints.restore(id);
         self.feed(Event::Restore { upstream: id, since });
     }
 
@@ -455,7 +437,7 @@
             Action::Refuse { request, retry_after } => d.answer(request, Answer::Refused { retry_after }),
             Action::Fail { request } => d.answer(request, Answer::Failed),
             Action::CloseIdle(id) => {
-                if let Some((upstream, ..)) = d.upstreams.get(&id) {
+                if let Some(upstream) = d.endpoints.upstream(id) {
                     upstream.close_idle();
                 }
             }
@@ -474,7 +456,7 @@
         let Some(open) = d.open.get_mut(&id) else { return };
         let number = open.sends;
         open.sends += 1;
-        let target = d.upstreams.get(&to).map(|(u, ..)| u.clone());
+        let target = d.endpoints.upstream(to).cloned();
         let (Some(target), true) = (target, open.reply.is_some()) else {
             let closed = open.reply.is_none();
             let ending = Ending::Moot;
@@ -495,7 +477,7 @@
         let out = open.out.clone();
         let (dispatch, handle) = (d.dispatch.clone(), self.clone());
         if target.oldest_idle().is_none() && dispatch.sockets_exhausted() {
-            d.free_socket();
+            d.endpoints.close_oldest_idle();
         }
         let task = tokio::task::spawn_local(async move {
             let begun = |answer| handle.begun(id, number, answer);
@@ -581,53 +563,15 @@
 
     /// Forgets an upstream that is gone once nothing is out to it.
     fn forget_upstream(&mut self, id: UpstreamId) {
-        let gone = self.upstreams.get(&id).is_some_and(|&(_, a, _)| a == Availability::Gone);
-        if gone && !self.attempts.values().any(|a| a.upstream == id) {
-            self.upstreams.remove(&id);
-        }
-    }
-
-    /// Closes the idle connection that rested longest, of all upstreams: its socket is needed elsewhere.
-    fn free_socket(&mut self) {
-        let oldest = self.upstreams.values().filter_map(|(u, ..)| Some((u.oldest_idle()?, u)));
-        if let Some((_, upstream)) = oldest.min_by_key(|&(since, _)| since) {
-            upstream.drop_oldest();
+        if self.endpoints.is_gone(id) && !self.attempts.values().any(|a| a.upstream == id) {
+            self.endpoints.forget(id);
         }
     }
 
     /// Keeps addresses and connections in step with the list.
     fn apply_endpoints(&mut self, update: &EndpointUpdate, full: bool) {
-        let closes = Instant::now() + self.drain_grace;
-        let close = |upstream: &Upstream| {
-            upstream.closes.set(Some(upstream.closes.get().unwrap_or(closes)));
-            upstream.close_idle();
-        };
-        self.listed |= !update.endpoints.is_empty();
-        if full {
-            for (id, (upstream, availability, _)) in &mut self.upstreams {
-                if !update.endpoints.iter().any(|endpoint| endpoint.member.id == *id) {
-                    *availability = Availability::Gone;
-                    close(upstream);
-                }
-            }
-        }
-        for endpoint in &update.endpoints {
-            let m = &endpoint.member;
-            let fresh = || (Upstream::new(endpoint.address), m.availability, m.since);
-            let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
-            // Another address or another start: the old connections lead nowhere.
-            if upstream.addr.replace(endpoint.address) != endpoint.address || *since != m.since {
-                upstream.replaced();
-            }
-            (*availability, *since) = (m.availability, m.since);
-            match m.availability {
-                Availability::Ready if self.balancer.suspends(m.id) => {}
-                Availability::Ready => upstream.closes.set(None),
-                Availability::Draining | Availability::Gone => close(upstream),
-            }
-        }
-        let gone = self.upstreams.iter().filter(|(_, (_, a, _))| *a == Availability::Gone);
-        for id in gone.map(|(&id, _)| id).collect::<Vec<_>>() {
+        self.endpoints.apply(update, full, |id| self.balancer.suspends(id));
+        for id in self.endpoints.gone() {
             self.forget_upstream(id);
         }
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,8 +5,9 @@
 //! module in its driver, and the discovery client.
 //!
 //! Modules depend on one another in one direction only: `endpoints`, `body` and `message` hold what is exchanged;
-//! `upstream` and `dispatch` carry attempts out; `driver` owns the decision module and uses these; `discovery` knows
-//! only the consumer of its updates; `control` joins them; `server`, `ops` and `program` come last.
+//! `upstream` and `dispatch` carry attempts out; `endpoint_table` keeps the upstreams that are known; `driver` owns the
+//! decision module and uses these; `discovery` knows only the consumer of its updates; `control` joins them; `server`,
+//! `ops` and `program` come last.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod config;
@@ -21,6 +22,7 @@
 mod discovery;
 mod dispatch;
 mod driver;
+mod endpoint_table;
 mod inbound;
 mod message;
 mod metrics;
--- a/node/tests/hollow.rs
+++ b/node/tests/hollow.rs
@@ -24,12 +24,15 @@
 /// The endpoints by number: the version of their last change, their address and state.
 struct Endpoints {
     version: u64,
+    /// Whether watches are answered with whole lists too.
+    whole_lists: bool,
     by_number: BTreeMap<usize, (u64, SocketAddr, &'static str)>,
 }
 
 impl Endpoints {
     /// The whole list, or what is newer than a version.
     fn answer(&self, since: Option<u64>) -> String {
+        let since = since.filter(|_| !self.whole_lists);
         let newer = |changed: &u64| since.is_none_or(|since| *changed > since);
         let listed = |state: &str| since.is_some() || state != "left";
         let servers: Vec<_> = self
@@ -55,7 +58,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
         let addr = listener.local_addr().expect("an address");
         let by_number = (0..endpoints).map(|number| (number, (1, endpoint_address(number), "active")));
-        let endpoints = Endpoints { version: 1, by_number: by_number.collect() };
+        let endpoints = Endpoints { version: 1, whole_lists: false, by_number: by_number.collect() };
         let shared = Arc::new((Mutex::new(endpoints), Condvar::new()));
         let service = EndpointService { addr, shared, calls: Arc::default() };
         let accepting = service.clone();
@@ -205,6 +208,22 @@
     changes_reach_all("on_request");
 }
 
+/// What a whole list leaves out is gone.
+#[test]
+fn whole_lists_replace_the_one_before() {
+    on_one_thread(async {
+        let service = EndpointService::start(ENDPOINTS);
+        service.shared.0.lock().expect("no panic").whole_lists = true;
+        let mut fleet = Fleet::start(&parsed_config(&service, "pushed", "null"), BALANCERS);
+        fleet.in_force(1).await;
+        let version = service.change(3, "left");
+        for update in fleet.in_force(version).await {
+            assert!(update.full && update.endpoints == ENDPOINTS - 1, "{update:?}");
+        }
+        assert_eq!(fleet.listed(), [ENDPOINTS - 1; BALANCERS]);
+    });
+}
+
 /// A balancer that starts with a cached snapshot asks only for what is newer.
 #[test]
 fn a_cached_snapshot_saves_the_whole_list() {
