Move connections and dialling out of the attempts' file, and its tests to a file

node/src/upstream.rs held the attempts, the pool of idle connections, dialling and the tests. The pool is now connection_pool.rs, dialling connector.rs, the tests upstream/tests.rs. No change of behaviour: the tests are the same, but for how they reach a new connection.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -1,7 +1,8 @@
 //! How the attempts of a balancer are carried out.
 use crate::body::Content;
+use crate::connection_pool::Upstream;
 use crate::message::{Answer, Outgoing};
-use crate::upstream::{Transport, Upstream};
+use crate::upstream::Transport;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use oakflow::Ending;
@@ -39,7 +40,7 @@
     /// How long connections to upstreams may be idle; none where there are no connections.
     pub fn idle_limit(&self) -> Option<Duration> {
         match self {
-            Dispatch::Sockets(transport) => Some(transport.idle),
+            Dispatch::Sockets(transport) => Some(transport.idle_limit()),
             Dispatch::Hollow => None,
         }
     }
@@ -47,7 +48,7 @@
     /// Whether no more sockets may be opened.
     pub fn sockets_exhausted(&self) -> bool {
         match self {
-            Dispatch::Sockets(transport) => transport.sockets.exhausted(),
+            Dispatch::Sockets(transport) => transport.sockets_exhausted(),
             Dispatch::Hollow => false,
         }
     }
--- a/node/src/endpoint_table.rs
+++ b/node/src/endpoint_table.rs
@@ -1,6 +1,6 @@
 //! The endpoints that the decision module may name, with their connections kept in step with what discovery reports.
+use crate::connection_pool::Upstream;
 use crate::endpoints::{Endpoint, EndpointUpdate};
-use crate::upstream::Upstream;
 use oakflow::{Availability, Millis, UpstreamId};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,7 +5,7 @@
 //! module in its driver, and the discovery client.
 //!
 //! Modules depend on one another in one direction only: `endpoints`, `body` and `message` hold what is exchanged;
-//! `upstream` and `dispatch` carry attempts out; `endpoint_table` keeps the upstreams that are known; `driver` owns the
+//! `connection_pool`, `connector`, `upstream` and `dispatch` carry attempts out; `endpoint_table` keeps the upstreams that are known; `driver` owns the
 //! decision module and uses these; `discovery` knows only the consumer of its updates; `control` joins them; `server`,
 //! `ops` and `program` come last.
 #![forbid(unsafe_code)]
@@ -18,6 +18,8 @@
 
 mod body;
 mod clock;
+mod connection_pool;
+mod connector;
 mod control;
 mod discovery;
 mod dispatch;
--- a/node/src/program.rs
+++ b/node/src/program.rs
@@ -1,6 +1,7 @@
 //! The balancer as a process: start-up, signals and wiring; see the README.
 use crate::clock::{from_millis, Clock};
 use crate::config::Config;
+use crate::connector::Connector;
 use crate::control::{Control, ControlOptions};
 use crate::dispatch::Dispatch;
 use crate::driver::Handle;
@@ -137,12 +138,12 @@
 
 /// The sockets' side of attempts.
 fn transport(deployment: &Deployment, budget: &Sockets, figures: &Figures) -> Transport {
-    Transport::new(
+    Transport::new(Connector::new(
         from_millis(deployment.dial_timeout),
         from_millis(deployment.policy.idle_close.min(LONGEST_SETTING)),
         budget.clone(),
         figures.tries(),
-    )
+    ))
 }
 
 /// Opens the operators' door, if there is one.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,30 +1,21 @@
-//! Attempts: one request to one upstream, once; and the connections that are kept for the next.
+//! Attempts: one request to one upstream, once.
 use crate::body::{frames, Content, Fault, Giver, Payload, Tried, BODY_MOST, STALLED, WHOLE_MOST};
-use crate::inbound::{Shared, Written, HEAD_MOST};
+use crate::connection_pool::Upstream;
+use crate::connector::{Connected, Connector};
+use crate::inbound::Written;
 use crate::message::{Answer, Outgoing};
-use crate::sockets::Sockets;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use oakflow::Ending;
-use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
-/// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
-const IDLE_MARGIN: Duration = Duration::from_millis(250);
 /// How long a body is held back on a connection that has rested. Some go stale unseen: only what is written to them
 /// brings the reset, several round trips of a data centre sooner than this. While a request's last byte is not
 /// written it has surely not run, so that it can go out on another connection.
@@ -64,139 +55,28 @@
     }
 }
 
-/// One open connection; closed when dropped.
-struct Conn {
-    sender: http1::SendRequest<Tried>,
-    socket: Shared,
-    /// The upstream's generation that it was made for.
-    generation: u64,
-    task: AbortHandle,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Drop for Conn {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-impl Conn {
-    /// Whether it can carry a request. Guards against requests written to one that the other side has closed,
-    /// and against reading what came behind an answer, a second copy or noise, as the answer to the next.
-    fn clean(&self) -> bool {
-        self.sender.is_ready() && self.socket.quiet()
-    }
-}
-
-struct Idle {
-    conn: Conn,
-    since: Instant,
-}
-
-/// One upstream: where it is, and the connections to it that carry nothing now.
-pub struct Upstream {
-    /// Where it listens.
-    pub addr: Cell<SocketAddr>,
-    /// After this nothing may be written to it: it drains or is gone, and the grace is over.
-    pub closes: Cell<Option<Instant>>,
-    /// Counts the processes that have been there.
-    generation: Cell<u64>,
-    idle: RefCell<Vec<Idle>>,
-}
-
-impl Upstream {
-    /// An upstream that nothing is connected to yet.
-    pub fn new(addr: SocketAddr) -> Rc<Upstream> {
-        let (addr, closes) = (Cell::new(addr), Cell::new(None));
-        Rc::new(Upstream { addr, closes, generation: Cell::new(0), idle: RefCell::default() })
-    }
-
-    /// Another process has taken its place: connections to the old one, those in use too, carry nothing more.
-    pub fn replaced(&self) {
-        self.generation.set(self.generation.get() + 1);
-        self.close_idle();
-    }
-
-    /// Closes the connections that carry no call now.
-    pub fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
-    /// Closes the connections that have been idle for longer than `most`, and those the other side closed.
-    pub fn sweep(&self, now: Instant, most: Duration) {
-        self.idle.borrow_mut().retain(|i| !i.conn.sender.is_closed() && now - i.since < most);
-    }
-
-    /// Since when the connection that rested longest is idle.
-    pub fn oldest_idle(&self) -> Option<Instant> {
-        self.idle.borrow().first().map(|i| i.since)
-    }
-
-    /// Closes the connection that rested longest.
-    pub fn drop_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        if !idle.is_empty() {
-            idle.remove(0);
-        }
-    }
-
-    /// The connection used last: the others then go idle and close, instead of all being kept warm by turns.
-    fn take(&self, most: Duration) -> Option<Conn> {
-        let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.pop() {
-            if now - i.since < most && i.conn.clean() {
-                return Some(i.conn);
-            }
-        }
-        None
-    }
-
-    fn closed(&self, now: Instant) -> bool {
-        self.closes.get().is_some_and(|at| now >= at)
-    }
-}
-
 /// What all attempts share.
 #[derive(Clone)]
 pub struct Transport {
-    /// A connection that is not up after this long counts as refused.
-    pub dial_timeout: Duration,
-    /// Connections are closed when idle for this long.
-    pub idle: Duration,
+    connector: Connector,
     /// How long a connection that has rested is tried with a request's head before the body follows.
     trial: Duration,
-    /// Sockets that may still be opened.
-    pub sockets: Sockets,
-    /// Counts the requests written whole.
-    tries: Rc<Cell<u64>>,
 }
 
 impl Transport {
-    /// `idle_close` is when upstreams close idle connections; `tries` counts the requests written whole.
-    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets, tries: Rc<Cell<u64>>) -> Self {
-        let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
-        Transport { dial_timeout, idle, trial: TRIAL, sockets, tries }
+    /// Attempts on the connections of this connector.
+    pub fn new(connector: Connector) -> Self {
+        Transport { connector, trial: TRIAL }
+    }
+
+    /// How long connections may be idle.
+    pub fn idle_limit(&self) -> Duration {
+        self.connector.idle_limit()
     }
 
-    async fn dial(&self, to: &Upstream, until: Instant) -> Result<Conn, Ending> {
-        // Guards against blaming an upstream for a shortage of our own.
-        let permit = self.sockets.upstream().ok_or(Ending::Moot)?;
-        let until = until.min(Instant::now() + self.dial_timeout);
-        let generation = to.generation.get();
-        let dialled =
-            timeout_at(until, TcpStream::connect(to.addr.get())).await.map_err(|_| Ending::ConnectFailed)?;
-        let stream = dialled.map_err(|e| if short(&e) { Ending::Moot } else { Ending::ConnectFailed })?;
-        stream.set_nodelay(true).map_err(|_| Ending::ConnectFailed)?;
-        let socket = Shared::new(stream, self.tries.clone());
-        let io = TokioIo::new(socket.clone());
-        let made = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
-        let (sender, conn) = made.map_err(|_| Ending::ConnectFailed)?;
-        let task = tokio::task::spawn_local(async move {
-            // How the connection ended shows in the attempt that was on it.
-            let _ = conn.await;
-        });
-        Ok(Conn { sender, socket, generation, task: task.abort_handle(), _permit: permit })
+    /// Whether no more sockets may be opened.
+    pub fn sockets_exhausted(&self) -> bool {
+        self.connector.sockets_exhausted()
     }
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection. A
@@ -209,12 +89,10 @@
         begun: impl FnOnce(Answer),
     ) -> (Ending, Option<Answer>) {
         let (mut conn, answer) = loop {
-            let (mut conn, reused) = match to.take(self.idle) {
-                Some(conn) => (conn, true),
-                None => match self.dial(&to, until).await {
-                    Ok(conn) => (conn, false),
-                    Err(ending) => return (ending, None),
-                },
+            let (mut conn, reused) = match self.connector.connect(&to, until).await {
+                Ok(Connected::Idle(conn)) => (conn, true),
+                Ok(Connected::New(conn)) => (conn, false),
+                Err(ending) => return (ending, None),
             };
             let now = Instant::now();
             // Guards against what was decided before dialling and must not be written after it: the upstream's
@@ -290,9 +168,7 @@
         };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            if !to.closed(Instant::now()) && conn.generation == to.generation.get() && conn.clean() {
-                to.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
-            }
+            to.put(conn);
         }
         (ending, answer)
     }
@@ -352,12 +228,6 @@
     }
 }
 
-/// Whether a connection was not made for want of something on this machine.
-fn short(e: &io::Error) -> bool {
-    // ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
-    matches!(e.raw_os_error(), Some(23 | 24 | 99 | 105))
-}
-
 /// How an attempt ended whose answer did not come whole: the connection broke, or what came can't be read. The
 /// second says nothing about the connection, and must not make good ones that rest look bad.
 fn broken(e: &(dyn Error + 'static)) -> Ending {
@@ -430,164 +300,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use hyper::{Method, Uri};
-    use std::io::{Read, Write};
-    use std::net::TcpListener;
-    use tokio::task::LocalSet;
-
-    fn transport(sockets: Sockets) -> Transport {
-        Transport::new(Duration::from_secs(5), Duration::from_secs(60), sockets, Rc::default())
-    }
-
-    fn alone(test: impl std::future::Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, test);
-    }
-
-    /// Guards against requests written to a connection of which the system knows, and the runtime not yet, that
-    /// it is closed or holds more than the last answer: nothing between that and the next request yields.
-    #[test]
-    fn a_connection_with_something_unread_is_not_used_again() {
-        alone(async {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-            let addr = listener.local_addr().expect("an address");
-            let transport = transport(Sockets::new(64));
-            let rested = |extra: Option<&'static [u8]>| {
-                let (transport, listener) = (transport.clone(), listener.try_clone().expect("a listener"));
-                async move {
-                    let until = Instant::now() + Duration::from_secs(5);
-                    let upstream = Upstream::new(addr);
-                    let mut conn = transport.dial(&upstream, until).await.expect("connects");
-                    let (mut peer, _) = listener.accept().expect("accepts");
-                    conn.sender.ready().await.expect("it is open");
-                    upstream.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
-                    match extra {
-                        Some(extra) => peer.write_all(extra).expect("writes"),
-                        None => drop(peer.shutdown(std::net::Shutdown::Both)),
-                    }
-                    let taken = upstream.take(Duration::from_secs(60)).is_some();
-                    drop(peer);
-                    taken
-                }
-            };
-            assert!(rested(Some(b"")).await, "one that rests is used");
-            assert!(!rested(Some(b"x")).await, "one with noise is not");
-            assert!(!rested(None).await, "nor one that is closed");
-        });
-    }
-
-    /// Guards against blaming connections for answers that came and can't be read: the module would close good ones.
-    #[test]
-    fn an_unreadable_answer_is_an_error_and_a_broken_connection_a_reset() {
-        for (answer, wanted) in [
-            ("HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
-            ("ICY 200 OK\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
-            ("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nxx", Ending::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx", Ending::Error),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nxx\r\n0\r\n\r\n", Ending::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx", Ending::Reset),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nx", Ending::Reset),
-            ("HTTP/1.1 200 OK\r\nContent-Len", Ending::Reset),
-            ("", Ending::Reset),
-        ] {
-            alone(async {
-                let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-                let to = Upstream::new(listener.local_addr().expect("an address"));
-                let text = answer.to_string();
-                let upstream = std::thread::spawn(move || {
-                    let (mut peer, _) = listener.accept().expect("accepts");
-                    read_until(&mut peer, b"body");
-                    // The reader may hang up before it has taken all of it.
-                    let _ = peer.write_all(text.as_bytes());
-                });
-                let out = Outgoing {
-                    method: Method::POST,
-                    body: Payload::Whole(Bytes::from("body")),
-                    ..outgoing()
-                };
-                let until = Instant::now() + Duration::from_secs(50);
-                let (ending, _) = transport(Sockets::new(64)).attempt(to, Rc::new(out), until, |_| ()).await;
-                assert_eq!(ending, wanted, "{answer:.100}");
-                upstream.join().expect("the upstream");
-            });
-        }
-    }
-
-    /// Guards against losing a request that must not run twice to a connection that went stale while it rested: the
-    /// reset comes for its head, and it has surely not run. The trial is too long to pass by itself.
-    #[test]
-    fn a_connection_that_went_stale_costs_no_request() {
-        alone(async {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-            let to = Upstream::new(listener.local_addr().expect("an address"));
-            let upstream = std::thread::spawn(move || {
-                let (mut first, _) = listener.accept().expect("accepts");
-                assert!(read_until(&mut first, b"body").ends_with(b"body"));
-                first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("writes");
-                let stale = read_until(&mut first, b"\r\n\r\n");
-                socket2::SockRef::from(&first).set_linger(Some(Duration::ZERO)).expect("a socket");
-                drop(first);
-                let (mut second, _) = listener.accept().expect("accepts");
-                assert!(read_until(&mut second, b"body").ends_with(b"body"));
-                second.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("writes");
-                stale
-            });
-            let transport = Transport { trial: Duration::from_secs(60), ..transport(Sockets::new(64)) };
-            for _ in 0..2 {
-                let out = Outgoing {
-                    method: Method::POST,
-                    body: Payload::Whole(Bytes::from("body")),
-                    ..outgoing()
-                };
-                let until = Instant::now() + Duration::from_secs(50);
-                let (ending, answer) = transport.attempt(to.clone(), Rc::new(out), until, |_| ()).await;
-                assert_eq!(ending, Ending::Ok);
-                assert!(matches!(answer, Some(Answer::Served { .. })));
-            }
-            let stale = upstream.join().expect("the upstream");
-            assert!(stale.ends_with(b"\r\n\r\n"), "the body went out on a connection on trial");
-        });
-    }
-
-    /// Reads until what came ends with `end`, or nothing more comes.
-    fn read_until(from: &mut std::net::TcpStream, end: &[u8]) -> Vec<u8> {
-        let (mut all, mut byte) = (Vec::new(), [0]);
-        while !all.ends_with(end) && from.read(&mut byte).is_ok_and(|n| n == 1) {
-            all.extend_from_slice(&byte);
-        }
-        all
-    }
-
-    fn outgoing() -> Outgoing {
-        Outgoing {
-            name: None,
-            method: Method::GET,
-            target: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: Payload::Whole(Bytes::new()),
-            over: Cell::new(false),
-        }
-    }
-
-    /// Guards against blaming an upstream for our own want of descriptors: nothing was tried.
-    #[test]
-    fn a_shortage_of_our_own_is_no_failure_of_the_upstream() {
-        alone(async {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-            let sockets = Sockets::new(64);
-            let all: Vec<_> = std::iter::from_fn(|| sockets.upstream()).collect();
-            let out = outgoing();
-            let to = Upstream::new(listener.local_addr().expect("an address"));
-            let until = Instant::now() + Duration::from_secs(5);
-            let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until, |_| ()).await;
-            assert_eq!(ending, Ending::Moot);
-            drop(all);
-            listener.set_nonblocking(true).expect("a listener");
-            let nobody = listener.accept().map(|(mut s, _)| s.read(&mut [0]));
-            assert!(nobody.is_err(), "nothing was connected");
-        });
-    }
-}
+mod tests;
