Count an attempt's time from when its connection is up, not from its start

The driver told the module the time since an attempt's start, so that expected latency, its least mean and capacity learned the network.

Change: Transport::attempt tells when there is a connection to write to (connected), and Attempt::connected in node/src/driver.rs counts from there. The module's interface says so.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -26,10 +26,13 @@
         upstream: Rc<Upstream>,
         request: Rc<Outgoing>,
         until: Instant,
+        connected: impl Fn(),
         begun: impl FnOnce(Answer),
     ) -> (Ending, Option<Answer>) {
         match self {
-            Dispatch::Sockets(transport) => transport.attempt(upstream, request, until, begun).await,
+            Dispatch::Sockets(transport) => {
+                transport.attempt(upstream, request, until, connected, begun).await
+            }
             Dispatch::Hollow => {
                 let served = Answer::Served { headers: HeaderMap::new(), body: Content::Whole(Bytes::new()) };
                 (Ending::Ok, Some(served))
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -47,7 +47,7 @@
 
 struct Attempt {
     upstream: UpstreamId,
-    /// When all of it had come to be sent.
+    /// When all of it had come to be sent and there was a connection to send it on.
     sent: Option<Instant>,
     /// How long after that its answer began, once it is passed on.
     began: Option<Duration>,
@@ -57,6 +57,12 @@
 }
 
 impl Attempt {
+    /// There is a connection to write to. Guards against taking the time to connect for the upstream's answer time:
+    /// a network that is slow to connect would look like upstreams that are overloaded.
+    fn connected(&mut self, now: Instant) {
+        self.sent = self.sent.map(|sent| sent.max(now));
+    }
+
     fn took(&self) -> Duration {
         self.began.or(self.sent.map(|sent| sent.elapsed())).unwrap_or_default()
     }
@@ -375,6 +381,13 @@
         self.feed(Event::Whole { request: id, deadline });
     }
 
+    /// An attempt has a connection to write to.
+    fn connected(&self, id: RequestId, number: u32) {
+        if let Some(attempt) = self.0.driver.borrow_mut().attempts.get_mut(&(id, number)) {
+            attempt.connected(Instant::now());
+        }
+    }
+
     /// The answer to an attempt has begun, and goes to the client from now on.
     fn begun(&self, id: RequestId, number: u32, answer: Answer) {
         {
@@ -480,8 +493,9 @@
             d.endpoints.close_oldest_idle();
         }
         let task = tokio::task::spawn_local(async move {
+            let connected = || handle.connected(id, number);
             let begun = |answer| handle.begun(id, number, answer);
-            let (ending, answer) = dispatch.attempt(target, out, until, begun).await;
+            let (ending, answer) = dispatch.attempt(target, out, until, connected, begun).await;
             handle.ended(id, number, ending, answer);
         });
         let due = whole.then(|| d.set_timer(until, Due::Attempt(id, number)));
@@ -576,3 +590,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/node/src/driver/tests.rs
@@ -0,0 +1,71 @@
+//! What the driver tells the decision module of an attempt, with real connections.
+use super::*;
+use crate::body::Payload;
+use crate::connector::Connector;
+use crate::endpoints::Endpoint;
+use crate::sockets::Sockets;
+use crate::test_support::FullListener;
+use crate::upstream::Transport;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use oakflow::{Member, Settings};
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn driver_with(upstream: SocketAddr) -> Handle {
+    let class = oakflow::Class { objective: 20_000.0, deadline: 20_000.0, ..oakflow::Class::default() };
+    let settings = Settings { classes: vec![class], ..Settings::default() };
+    let clock = Clock::start();
+    let connector = Connector::new(LONG, LONG, Sockets::new(64), Rc::default());
+    let handle = Handle::new(Parts {
+        balancer: Balancer::new(settings, 1, clock.now()).expect("valid settings"),
+        clock,
+        dispatch: Dispatch::Sockets(Transport::new(connector)),
+        drain_grace: LONG,
+        max_open: 10,
+        log: Log::Discard,
+    });
+    let member = Member { id: UpstreamId(1), ..Member::default() };
+    let endpoints = vec![Endpoint { member, address: upstream }];
+    handle.apply(&EndpointUpdate { version: 1, full: true, endpoints });
+    handle
+}
+
+fn request() -> Outgoing {
+    Outgoing {
+        name: None,
+        method: Method::GET,
+        target: Uri::from_static("/api"),
+        headers: HeaderMap::new(),
+        body: Payload::Whole(Bytes::new()),
+        over: Cell::new(false),
+    }
+}
+
+/// Guards against taking the time to connect for the upstream's answer time: a network that is slow to connect would
+/// look like overloaded upstreams, and requests would be refused that they have room for.
+#[tokio::test(flavor = "current_thread")]
+async fn the_time_to_connect_is_not_the_upstreams_answer_time() {
+    let test = async {
+        let mut listener = FullListener::bind();
+        let handle = driver_with(listener.address());
+        let start = Instant::now();
+        let _waiting = handle.take(0, 0, 20_000.0, request()).expect("is taken");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        listener.admit();
+        let connection = tokio::task::spawn_blocking(move || listener.accept()).await.expect("connects");
+        let connected_after = start.elapsed();
+        assert!(connected_after >= Duration::from_millis(500), "the connection came up late");
+        // The attempt is written, and its upstream has not answered yet.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let took = {
+            let driver = handle.0.driver.borrow();
+            driver.attempts.values().map(Attempt::took).next().expect("an attempt is out")
+        };
+        assert!(took < connected_after / 2, "{took:?} of {connected_after:?} counted");
+        drop(connection);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -33,3 +33,6 @@
 mod server;
 mod sockets;
 mod upstream;
+
+#[cfg(test)]
+mod test_support;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -79,13 +79,15 @@
         self.connector.sockets_exhausted()
     }
 
-    /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection. A
-    /// large answer is handed to `begun` when it begins, and the attempt ends with it.
+    /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
+    /// `connected` is told when there is a connection to write to. A large answer is handed to `begun` when it begins,
+    /// and the attempt ends with it.
     pub async fn attempt(
         &self,
         to: Rc<Upstream>,
         out: Rc<Outgoing>,
         until: Instant,
+        connected: impl Fn(),
         begun: impl FnOnce(Answer),
     ) -> (Ending, Option<Answer>) {
         let (mut conn, answer) = loop {
@@ -94,6 +96,7 @@
                 Ok(Connected::New(conn)) => (conn, false),
                 Err(ending) => return (ending, None),
             };
+            connected();
             let now = Instant::now();
             // Guards against what was decided before dialling and must not be written after it: the upstream's
             // grace, the attempt's time or the request itself may be over by now.
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -89,7 +89,8 @@
             let out =
                 Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..outgoing() };
             let until = Instant::now() + Duration::from_secs(50);
-            let (ending, _) = transport(Sockets::new(64)).attempt(to, Rc::new(out), until, |_| ()).await;
+            let (ending, _) =
+                transport(Sockets::new(64)).attempt(to, Rc::new(out), until, || (), |_| ()).await;
             assert_eq!(ending, wanted, "{answer:.100}");
             upstream.join().expect("the upstream");
         });
@@ -120,7 +121,7 @@
             let out =
                 Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..outgoing() };
             let until = Instant::now() + Duration::from_secs(50);
-            let (ending, answer) = transport.attempt(to.clone(), Rc::new(out), until, |_| ()).await;
+            let (ending, answer) = transport.attempt(to.clone(), Rc::new(out), until, || (), |_| ()).await;
             assert_eq!(ending, Ending::Ok);
             assert!(matches!(answer, Some(Answer::Served { .. })));
         }
@@ -159,7 +160,7 @@
         let out = outgoing();
         let to = Upstream::new(listener.local_addr().expect("an address"));
         let until = Instant::now() + Duration::from_secs(5);
-        let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until, |_| ()).await;
+        let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until, || (), |_| ()).await;
         assert_eq!(ending, Ending::Moot);
         drop(all);
         listener.set_nonblocking(true).expect("a listener");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -306,7 +306,8 @@
         attempt: u32,
         /// How it ended.
         ending: Ending,
-        /// Time since all of it was sent, up to where its answer began if that was streamed; finite.
+        /// Time since all of it was sent, without the time to connect where the host knows it, up to where its
+        /// answer began if that was streamed; finite.
         duration: Millis,
         /// The request has ended, by this outcome or earlier.
         closed: bool,
