Let a late dial go on behind its attempt, and take connections that become idle

Each attempt dialled anew, gave up at the dial timeout and dropped the connection that came up later; meanwhile other connections to that upstream became idle and were not looked at.

Change: node/src/connector.rs starts a dial as a task of its own. The attempt takes whichever comes first, its dial or a connection that becomes idle; a dial that nobody waits for goes on for 2 s from its start at the least and leaves an idle connection, unless sockets are short or the upstream was replaced. A whole dial counts against the budget of sockets as before.

Tests: connector::tests, on a listener whose accept queue is full. Dialling as before, the late connection was not there for the next attempt and the waiting attempt was not woken.

--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -63,13 +63,20 @@
     /// Counts the processes that have been there.
     generation: Cell<u64>,
     idle: RefCell<Vec<Idle>>,
+    /// Wakes an attempt that waits for a connection when one becomes idle.
+    available: Notify,
 }
 
 impl Upstream {
     /// An upstream that nothing is connected to yet.
     pub fn new(addr: SocketAddr) -> Rc<Upstream> {
-        let (addr, closes) = (Cell::new(addr), Cell::new(None));
-        Rc::new(Upstream { addr, closes, generation: Cell::new(0), idle: RefCell::default() })
+        Rc::new(Upstream {
+            addr: Cell::new(addr),
+            closes: Cell::new(None),
+            generation: Cell::new(0),
+            idle: RefCell::default(),
+            available: Notify::new(),
+        })
     }
 
     /// Counts the processes that have been there: a connection belongs to one of them.
@@ -124,9 +131,15 @@
         let now = Instant::now();
         if !self.closed(now) && connection.generation == self.generation.get() && connection.is_clean() {
             self.idle.borrow_mut().push(Idle { connection, since: now });
+            self.available.notify_one();
         }
     }
 
+    /// Waits until a connection has become idle. Another attempt may take it first.
+    pub async fn available(&self) {
+        self.available.notified().await;
+    }
+
     /// Whether nothing may be written to it any more.
     pub fn closed(&self, now: Instant) -> bool {
         self.closes.get().is_some_and(|at| now >= at)
--- a/node/src/connector.rs
+++ b/node/src/connector.rs
@@ -10,12 +10,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
 /// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
 const IDLE_MARGIN: Duration = Duration::from_millis(250);
 
+/// How long a dial goes on at the least, whether or not its attempt still waits for it. What a network loses of a
+/// connection's setup is sent again after a second.
+const BACKGROUND_DIAL: Duration = Duration::from_secs(2);
+
 /// A connection that an attempt may use.
 pub enum Connected {
     /// It has carried requests before, or was left by another attempt.
@@ -58,18 +63,51 @@
         self.sockets.exhausted()
     }
 
-    /// An idle connection to the upstream, or else a new one by then.
-    pub async fn connect(&self, upstream: &Upstream, until: Instant) -> Result<Connected, Ending> {
+    /// An idle connection to the upstream, or else a new one by then: whichever comes first of the one that is dialled
+    /// and those that become idle meanwhile. A dial that is not needed or too late goes on, for the next attempt.
+    pub async fn connect(&self, upstream: &Rc<Upstream>, until: Instant) -> Result<Connected, Ending> {
         if let Some(connection) = upstream.take(self.idle_limit) {
             return Ok(Connected::Idle(connection));
         }
-        self.dial(upstream, until).await.map(Connected::New)
+        let until = until.min(Instant::now() + self.dial_timeout);
+        let mut dialled = self.start_dial(upstream);
+        loop {
+            tokio::select! {
+                biased;
+                made = &mut dialled => return made.unwrap_or(Err(Ending::Moot)).map(Connected::New),
+                () = upstream.available() => {
+                    if let Some(connection) = upstream.take(self.idle_limit) {
+                        return Ok(Connected::Idle(connection));
+                    }
+                }
+                () = sleep_until(until) => return Err(Ending::ConnectFailed),
+            }
+        }
+    }
+
+    /// Starts a dial that goes on whether or not anybody still waits for it: a connection that nobody waits for any more
+    /// becomes an idle one.
+    fn start_dial(&self, upstream: &Rc<Upstream>) -> oneshot::Receiver<Result<Connection, Ending>> {
+        let (mut waiting, dialled) = oneshot::channel();
+        let (connector, upstream) = (self.clone(), upstream.clone());
+        let until = Instant::now() + self.dial_timeout.max(BACKGROUND_DIAL);
+        tokio::task::spawn_local(async move {
+            let made = tokio::select! {
+                made = connector.dial(&upstream, until) => made,
+                () = unaffordable(&mut waiting, &connector.sockets) => return,
+            };
+            if let Err(Ok(mut unused)) = waiting.send(made) {
+                if unused.sender.ready().await.is_ok() {
+                    upstream.put(unused);
+                }
+            }
+        });
+        dialled
     }
 
     async fn dial(&self, upstream: &Upstream, until: Instant) -> Result<Connection, Ending> {
         // Guards against blaming an upstream for a shortage of our own.
         let permit = self.sockets.upstream().ok_or(Ending::Moot)?;
-        let until = until.min(Instant::now() + self.dial_timeout);
         let generation = upstream.generation();
         let connecting = TcpStream::connect(upstream.addr.get());
         let stream = timeout_at(until, connecting).await.map_err(|_| Ending::ConnectFailed)?;
@@ -88,8 +126,19 @@
     }
 }
 
+/// Returns once nobody waits for a dial any more and sockets are too short to go on with it.
+async fn unaffordable(waiting: &mut oneshot::Sender<Result<Connection, Ending>>, sockets: &Sockets) {
+    waiting.closed().await;
+    if sockets.plenty() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Whether a connection was not made for want of something on this machine.
 fn is_shortage(e: &io::Error) -> bool {
     // ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
     matches!(e.raw_os_error(), Some(23 | 24 | 99 | 105))
 }
+
+#[cfg(test)]
+mod tests;
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -66,6 +66,11 @@
         self.all.clone().try_acquire_owned().ok()
     }
 
+    /// Whether more than a quarter of the budget may still be opened.
+    pub fn plenty(&self) -> bool {
+        self.all.available_permits() > self.budget as usize / 4
+    }
+
     /// Whether nothing more may be opened.
     pub fn exhausted(&self) -> bool {
         self.all.available_permits() == 0
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -16,7 +16,7 @@
     Transport::new(connector(sockets))
 }
 
-async fn new_connection(connector: &Connector, upstream: &Upstream, until: Instant) -> Connection {
+async fn new_connection(connector: &Connector, upstream: &Rc<Upstream>, until: Instant) -> Connection {
     match connector.connect(upstream, until).await {
         Ok(Connected::New(connection)) => connection,
         Ok(Connected::Idle(_)) => panic!("nothing was connected before"),
