Follow a late dial with a further one, and use the connection that is up first

Change: after each eighth of the dial timeout without a connection, node/src/connector.rs dials once more, three dials at most for one attempt and only while over a quarter of the sockets is free. The first connection that is up is used, the others become idle ones.

Test: connector::tests::a_further_dial_overtakes_a_late_one.

--- a/node/src/connector.rs
+++ b/node/src/connector.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc::{self, error::SendError};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
@@ -21,6 +21,12 @@
 /// connection's setup is sent again after a second.
 const BACKGROUND_DIAL: Duration = Duration::from_secs(2);
 
+/// One dial is followed by a further one to the same upstream each time this fraction of the dial timeout has passed, and
+/// the first connection that is up is used: where a network loses some of what sets connections up, few are lost twice.
+const HEDGES_PER_TIMEOUT: u32 = 8;
+/// Dials for one attempt, at the most: an upstream that is down must not be sent a multiple.
+const DIALS_MOST: usize = 3;
+
 /// A connection that an attempt may use.
 pub enum Connected {
     /// It has carried requests before, or was left by another attempt.
@@ -63,46 +69,53 @@
         self.sockets.exhausted()
     }
 
-    /// An idle connection to the upstream, or else a new one by then: whichever comes first of the one that is dialled
+    /// An idle connection to the upstream, or else a new one by then: whichever comes first of those that are dialled
     /// and those that become idle meanwhile. A dial that is not needed or too late goes on, for the next attempt.
     pub async fn connect(&self, upstream: &Rc<Upstream>, until: Instant) -> Result<Connected, Ending> {
         if let Some(connection) = upstream.take(self.idle_limit) {
             return Ok(Connected::Idle(connection));
         }
         let until = until.min(Instant::now() + self.dial_timeout);
-        let mut dialled = self.start_dial(upstream);
+        let hedge_delay = self.dial_timeout / HEDGES_PER_TIMEOUT;
+        let mut hedge_at = Instant::now() + hedge_delay;
+        let (results, mut dialled) = mpsc::channel(DIALS_MOST);
+        let mut dials = 1;
+        self.start_dial(upstream, results.clone());
         loop {
             tokio::select! {
                 biased;
-                made = &mut dialled => return made.unwrap_or(Err(Ending::Moot)).map(Connected::New),
+                Some(made) = dialled.recv() => return made.map(Connected::New),
                 () = upstream.available() => {
                     if let Some(connection) = upstream.take(self.idle_limit) {
                         return Ok(Connected::Idle(connection));
                     }
                 }
                 () = sleep_until(until) => return Err(Ending::ConnectFailed),
+                () = sleep_until(hedge_at), if dials < DIALS_MOST && self.sockets.plenty() => {
+                    dials += 1;
+                    self.start_dial(upstream, results.clone());
+                    hedge_at += hedge_delay;
+                }
             }
         }
     }
 
     /// Starts a dial that goes on whether or not anybody still waits for it: a connection that nobody waits for any more
     /// becomes an idle one.
-    fn start_dial(&self, upstream: &Rc<Upstream>) -> oneshot::Receiver<Result<Connection, Ending>> {
-        let (mut waiting, dialled) = oneshot::channel();
+    fn start_dial(&self, upstream: &Rc<Upstream>, waiting: mpsc::Sender<Result<Connection, Ending>>) {
         let (connector, upstream) = (self.clone(), upstream.clone());
         let until = Instant::now() + self.dial_timeout.max(BACKGROUND_DIAL);
         tokio::task::spawn_local(async move {
             let made = tokio::select! {
                 made = connector.dial(&upstream, until) => made,
-                () = unaffordable(&mut waiting, &connector.sockets) => return,
+                () = unaffordable(&waiting, &connector.sockets) => return,
             };
-            if let Err(Ok(mut unused)) = waiting.send(made) {
+            if let Err(SendError(Ok(mut unused))) = waiting.send(made).await {
                 if unused.sender.ready().await.is_ok() {
                     upstream.put(unused);
                 }
             }
         });
-        dialled
     }
 
     async fn dial(&self, upstream: &Upstream, until: Instant) -> Result<Connection, Ending> {
@@ -127,7 +140,7 @@
 }
 
 /// Returns once nobody waits for a dial any more and sockets are too short to go on with it.
-async fn unaffordable(waiting: &mut oneshot::Sender<Result<Connection, Ending>>, sockets: &Sockets) {
+async fn unaffordable(waiting: &mpsc::Sender<Result<Connection, Ending>>, sockets: &Sockets) {
     waiting.closed().await;
     if sockets.plenty() {
         std::future::pending::<()>().await;
--- a/node/src/connector/tests.rs
+++ b/node/src/connector/tests.rs
@@ -74,3 +74,19 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against losing a request's time to one connection that comes up late, where the next one would be up at once.
+#[tokio::test]
+async fn a_further_dial_overtakes_a_late_one() {
+    let test = async {
+        let mut listener = FullListener::bind();
+        let (connector, upstream) =
+            (connector(Duration::from_millis(800)), Upstream::new(listener.address()));
+        let dialling = tokio::task::spawn_local(async move { connector.connect(&upstream, until()).await });
+        sleep(Duration::from_millis(50)).await;
+        listener.admit();
+        let connected = dialling.await.expect("runs");
+        assert!(matches!(connected, Ok(Connected::New(_))));
+    };
+    LocalSet::new().run_until(test).await;
+}
