--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -24,7 +24,7 @@
     let full = Unreachable::start();
     let discovery = Discovery::start();
     let config = config(discovery.addr, 1024, &listing(1, true, &[(0, full.addr, "active")]))
-        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"")
+        .replace("\"idle_close\"", "\"dial_timeout\":80000,\"idle_close\"")
         .replace("\"cancel\":true", &format!("\"cancel\":{cancel}"));
     let node = Node::run(command(&door(&config)), discovery);
     // Its connection to discovery is up: one descriptor more would be taken for one that dials.
