--- /dev/null
+++ b/src/policy/endpoints.rs
@@ -0,0 +1,183 @@
+//! The upstream servers that this replica knows: state of each, updates of the list, and slow start.
+use super::*;
+
+#[derive(Default)]
+pub(super) struct Endpoint {
+    pub(super) member: Member,
+    /// Requests in flight, those among them that no response is awaited for now, and their classes.
+    pub(super) inflight: u32,
+    pub(super) not_awaited: u32,
+    pub(super) classes: Vec<usize>,
+    pub(super) last_used: Millis,
+    /// Connections that should be open, and since when one of them may have been idle.
+    pub(super) connections: u32,
+    pub(super) idle_since: Millis,
+    pub(super) awaited_since: Millis,
+    pub(super) slowness: f64,
+    pub(super) failure_rate: f64,
+    pub(super) outcomes: u32,
+    pub(super) ejected_until: Millis,
+    pub(super) ejections: u32,
+    /// Slow start: requests that may be sent now, and when that was computed.
+    pub(super) tokens: f64,
+    pub(super) tokens_at: Millis,
+}
+
+impl Endpoint {
+    fn new(member: Member, now: Millis, rng: &mut Pcg64Mcg) -> Self {
+        // Hundreds of replicas must not each send their first request at once: start in random phase.
+        let (slowness, tokens) = (1.0, unit(rng));
+        let times = Endpoint { idle_since: now, awaited_since: now, tokens_at: now, ..Default::default() };
+        Endpoint { member, slowness, tokens, ..times }
+    }
+
+    /// Restarted under its old id: in slow start again, and its history is forgotten.
+    fn restart(&mut self, member: Member, now: Millis, rng: &mut Pcg64Mcg) {
+        let classes = std::mem::take(&mut self.classes);
+        let Endpoint { inflight, not_awaited, .. } = *self;
+        *self = Endpoint { inflight, not_awaited, classes, ..Endpoint::new(member, now, rng) };
+    }
+
+    pub(super) fn awaited(&self) -> u32 {
+        self.inflight.saturating_sub(self.not_awaited)
+    }
+
+    pub(super) fn start_awaiting(&mut self, now: Millis) {
+        self.awaited_since = if self.awaited() == 0 { now } else { self.awaited_since };
+    }
+
+    pub(super) fn record_send(&mut self, attempt: &Attempt, now: Millis) {
+        self.classes.push(attempt.class);
+        self.connections = if attempt.idle_step == 0 { self.inflight } else { self.connections };
+        self.start_awaiting(now);
+        self.inflight += 1;
+        self.not_awaited += u32::from(!attempt.awaited);
+        if self.connections <= self.inflight {
+            (self.connections, self.idle_since) = (self.inflight, now);
+        }
+        self.last_used = now;
+        self.tokens -= 1.0;
+    }
+}
+
+/// What takes requests on the ordinary path, slow starts by what they can do; requests in flight there.
+#[derive(Default)]
+pub(super) struct AdmissibleLoad {
+    pub(super) endpoints: f64,
+    pub(super) inflight: f64,
+    pub(super) local_inflight: f64,
+}
+
+#[derive(Default)]
+pub(super) struct Endpoints {
+    pub(super) settings: Arc<Settings>,
+    pub(super) slots: Vec<Endpoint>,
+    pub(super) by_id: BTreeMap<UpstreamId, usize>,
+    free: Vec<usize>,
+    pub(super) pools: Vec<Pool>,
+    pub(super) pool_of_class: Vec<usize>,
+    /// Endpoints that staff leave out, whatever the list says; and when they took others back into use.
+    pub(super) suspended: BTreeSet<UpstreamId>,
+    restored: BTreeMap<UpstreamId, Millis>,
+    pub(super) ready: usize,
+    pub(super) ready_max: usize,
+    pub(super) slow_start_ends: Millis,
+    pub(super) local_share: f64,
+    pub(super) subset_size: usize,
+    pub(super) failure_rate: f64,
+    pub(super) latency: LatencyModel,
+    pub(super) idle_losses: IdleLosses,
+}
+
+impl Endpoints {
+    pub(super) fn new(settings: Arc<Settings>) -> Self {
+        let (pools, pool_of_class) = Pool::of_classes(&settings.classes);
+        let latency = LatencyModel::new(&settings);
+        Endpoints { settings, pools, pool_of_class, latency, ..Endpoints::default() }
+    }
+
+    pub(super) fn apply(&mut self, update: Membership, now: Millis, rng: &mut Pcg64Mcg) {
+        let (members, complete) = match update {
+            Membership::Full(members) | Membership::Cached(members) => (members, true),
+            Membership::Delta(members) => (members, false),
+            Membership::Failed => return,
+        };
+        let listed: BTreeSet<UpstreamId> = members.iter().map(|member| member.id).collect();
+        for endpoint in self.slots.iter_mut().filter(|slot| complete && !listed.contains(&slot.member.id)) {
+            endpoint.member.availability = Availability::Gone;
+        }
+        for member in members {
+            self.slow_start_ends = self.slow_start_ends.max(member.since + self.settings.ramp_time);
+            match self.by_id.get(&member.id).map(|&index| &mut self.slots[index]) {
+                Some(known) if known.member.since != member.since => known.restart(member, now, rng),
+                Some(known) => known.member = member,
+                None if member.availability == Availability::Gone => {}
+                None => {
+                    let index = self.free.pop().unwrap_or(self.slots.len());
+                    self.by_id.insert(member.id, index);
+                    self.slots.resize_with(self.slots.len().max(index + 1), Endpoint::default);
+                    self.slots[index] = Endpoint::new(member, now, rng);
+                }
+            }
+        }
+        (0..self.slots.len()).for_each(|index| self.forget_if_gone(index));
+        self.choose_subset();
+    }
+
+    /// Takes an endpoint back into use that staff had left out, listed or not.
+    pub(super) fn restore(&mut self, id: UpstreamId, since: Millis, now: Millis, rng: &mut Pcg64Mcg) {
+        let ramp_time = self.settings.ramp_time;
+        self.suspended.remove(&id);
+        self.restored.retain(|_, &mut at| now - at < ramp_time);
+        self.restored.insert(id, since);
+        self.slow_start_ends = self.slow_start_ends.max(since + ramp_time);
+        if let Some(&index) = self.by_id.get(&id) {
+            let member = self.slots[index].member.clone();
+            self.slots[index].restart(member, now, rng);
+        }
+        self.choose_subset();
+    }
+
+    /// Whether an endpoint may be sent requests at all: listed as ready, and not left out by staff.
+    pub(super) fn is_open(&self, index: usize) -> bool {
+        let member = &self.slots[index].member;
+        member.availability == Availability::Ready && !self.suspended.contains(&member.id)
+    }
+
+    /// Frees the slot of an endpoint that is gone once nothing is in flight to it.
+    pub(super) fn forget_if_gone(&mut self, index: usize) {
+        let Endpoint { member, inflight, .. } = &self.slots[index];
+        let gone = member.availability == Availability::Gone && *inflight == 0;
+        if gone && self.by_id.get(&member.id) == Some(&index) {
+            self.by_id.remove(&member.id);
+            self.free.push(index);
+        }
+    }
+
+    /// What others still owe, those that left and overloaded ones, is no burden.
+    pub(super) fn admissible_load(&self, now: Millis) -> AdmissibleLoad {
+        let mut load = AdmissibleLoad::default();
+        for &index in self.by_id.values().filter(|&&index| self.is_open(index)) {
+            let endpoint = &self.slots[index];
+            if now >= endpoint.ejected_until && !self.is_overloaded(index, now) {
+                let awaited = f64::from(endpoint.awaited());
+                let local = endpoint.member.zone == self.settings.zone;
+                load.endpoints += self.warmth(index, now);
+                load.inflight += awaited;
+                load.local_inflight += if local { awaited } else { 0.0 };
+            }
+        }
+        load
+    }
+
+    /// The share of its full capacity that an endpoint in slow start has now, for sure.
+    pub(super) fn warmth(&self, index: usize, now: Millis) -> f64 {
+        let (settings, member) = (&self.settings, &self.slots[index].member);
+        let since = self.restored.get(&member.id).map_or(member.since, |&at| at.max(member.since));
+        let age = now - since;
+        if since <= 0.0 || age >= settings.ramp_time {
+            return 1.0;
+        }
+        (settings.cold_from + (1.0 - settings.cold_from) * age.max(0.0) / settings.ramp_time).min(1.0)
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,4 +1,4 @@
-//! One test for each failure met: it fails without the guard that policy.rs names it at.
+//! One test for each failure met: it fails without the guard that the policy names it at.
 mod common;
 
 use common::*;
