--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -65,7 +65,7 @@
         let first_tier = settings.stage == 0 && stated > 0.0;
         let objective = mean_objective(settings);
         Capacity {
-            // Without stated quotas nothing is known: the first cycle rejects no one and shows what is carried.
+            // Without stated quotas nothing is known: the first cycle rejects no one, shows what is carried.
             per_cycle: if stated > 0.0 { stated } else { 1000.0 },
             quota: (quota * CYCLE / 1000.0).max(0.1),
             success: 1.0,
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -33,8 +33,8 @@
         self.is_overdue(index, UNRESPONSIVE_FACTOR, now)
     }
 
-    /// Of the replicas that overload an endpoint each sees only its own few requests wait there for far longer
-    /// than responses take. Below the first tier a rejection wastes work: overloaded ones are still used.
+    /// Of the replicas that overload an endpoint each sees only its own few requests wait there for far
+    /// longer than responses take. Below the first tier a rejection wastes work: overloaded ones are still used.
     pub(super) fn is_overloaded(&self, index: usize, now: Millis) -> bool {
         self.settings.stage == 0 && self.is_overdue(index, OVERLOADED_FACTOR, now)
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Requests that are late already count before their responses come, the first of which are the fast ones.
+    /// Requests that are late count before their responses come, the first of which are the fast ones.
     pub(super) fn record_overdue(&mut self, now: Millis) {
         self.admission.inflight_lost = 0.0;
         for pending in self.pending.values().filter(|pending| !pending.closed) {
