--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -34,7 +34,7 @@
     }
 
     /// Of the replicas that overload an endpoint each sees only its own few requests wait there for far
-    /// longer than responses take. Below the first tier a rejection wastes work: overloaded ones are still used.
+    /// longer than responses take. Below the first tier a rejection wastes work: they are still used.
     pub(super) fn is_overloaded(&self, index: usize, now: Millis) -> bool {
         self.settings.stage == 0 && self.is_overdue(index, OVERLOADED_FACTOR, now)
     }
