--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,17 +1,13 @@
 //! Every decision of the balancer. The types it speaks in are in `src/interface.rs`.
-//!
-//! Ordinary path of a request: count it as its tenant's demand; admit it when its tenant is within its limit
-//! or the cycle's capacity is not used up, reject it otherwise; send it to the less busy of two random ready
-//! endpoints by our own requests in flight. Everything else is an exception, and says what it guards against.
+//! Ordinary path of a request: admit it if its tenant is within its limit or capacity is not used up; send it
+//! to the less busy of two random ready endpoints. All else is an exception, and says what it guards against.
 mod admission;
 mod capacity;
 mod endpoints;
 mod health;
-mod idle;
 mod latency;
 mod picker;
 mod requests;
-mod subset;
 
 pub use admission::limits;
 
@@ -20,7 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::{cmp::Ordering, sync::Arc};
-use {admission::*, capacity::*, endpoints::*, idle::*, latency::*, picker::*, requests::*, subset::*};
+use {admission::*, capacity::*, endpoints::*, health::*, latency::*, picker::*, requests::*};
 
 /// Pause before asking for the list again after a failure, doubling up to a third of `ask_within`.
 const ASK_AGAIN: Millis = 400.0;
@@ -49,17 +45,9 @@
         let admission = Admission::new(&settings, now);
         let mut endpoints = Endpoints::new(Arc::clone(&settings));
         endpoints.resize_subset(admission.capacity.admitted_mean);
-        Ok(Balancer {
-            settings,
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            admission,
-            endpoints,
-            pending: BTreeMap::new(),
-            retries: RETRY_BURST,
-            started: false,
-            ask_failures: 0,
-            late: false,
-        })
+        let (rng, pending) = (Pcg64Mcg::seed_from_u64(seed), BTreeMap::new());
+        let (retries, ask_failures, started, late) = (RETRY_BURST, 0, false, false);
+        Ok(Balancer { settings, rng, admission, endpoints, pending, retries, started, ask_failures, late })
     }
 
     /// Whether staff have left an upstream out.
@@ -118,10 +106,9 @@
 
     /// Backs off with jitter, yet stays well within the time after which we count as told.
     fn ask_again(&mut self, actions: &mut Vec<Action>) {
-        let longest = self.settings.ask_within / 3.0;
-        let pause = (ASK_AGAIN * f64::from(1u32 << self.ask_failures.min(10))).min(longest);
+        let pause = ASK_AGAIN * f64::from(1u32 << self.ask_failures.min(10));
         self.ask_failures += 1;
-        let after = pause * (0.5 + 0.5 * unit(&mut self.rng));
+        let after = pause.min(self.settings.ask_within / 3.0) * (0.5 + 0.5 * unit(&mut self.rng));
         actions.push(Action::SetTimer { after, token: TIMER_ASK });
     }
 
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -10,9 +10,8 @@
 /// Cycles' worth of limit that a tenant may save up; evens out the chance arrivals of tiny counts.
 const BURST_CYCLES: f64 = 6.0;
 
-/// A new limit for each tenant from last cycle's demand, lending what others leave unused.
-/// `weights` are the tenants' shares of the capacity (all alike as published). Limits are never negative
-/// and sum to `capacity` at most, up to rounding.
+/// A new limit for each tenant from last cycle's demand, lending what others leave unused of their share
+/// by `weights` (alike as published). Limits are not negative and sum to `capacity` at most, up to rounding.
 pub fn limits(capacity: f64, demands: &[f64], weights: &[f64], reservation: f64) -> Vec<f64> {
     let share = |of: f64, total: f64, other: f64| if total > 0.0 { of / total } else { other };
     let total: f64 = weights.iter().sum();
@@ -69,16 +68,15 @@
     /// Counts the request as demand and decides whether it passes.
     pub(super) fn admit(&mut self, tenant: usize, now: Millis) -> bool {
         let tenant = tenant.min(self.tenants.len() - 1);
-        if !self.tenants[tenant].seen {
+        if !std::mem::replace(&mut self.tenants[tenant].seen, true) {
             // A new tenant ends the cycle early, so that it has a limit at once (as published).
-            self.tenants[tenant].seen = true;
             self.end_cycle(now);
         }
-        let (full, hard) = self.capacity.inflight_limits();
+        let (soft, hard) = self.capacity.inflight_limits();
         let tenant = &mut self.tenants[tenant];
         tenant.requests += 1.0;
         let inflight = self.load.inflight - self.inflight_lost;
-        let full = self.admitted >= self.capacity.per_cycle || inflight >= full;
+        let full = self.admitted >= self.capacity.per_cycle || inflight >= soft;
         let within_limit = tenant.admitted < tenant.limit;
         if inflight >= hard || (full && !within_limit) {
             self.rejected_within_limit |= within_limit;
@@ -94,25 +92,22 @@
         // A cycle that a new tenant cut short counts for the share of it that passed.
         let elapsed = ((now - self.cycle_start) / CYCLE).clamp(0.0, 1.0);
         self.cycle_start = now;
-        let smooth = |mean: &mut f64, count: f64| {
-            *mean += if elapsed > 0.0 { elapsed * DEMAND_GAIN * (count / elapsed - *mean) } else { 0.0 };
-        };
+        let per_cycle = |count: f64| if elapsed > 0.0 { count / elapsed } else { 0.0 };
+        let gain = elapsed * DEMAND_GAIN;
         for tenant in self.tenants.iter_mut().filter(|tenant| tenant.seen) {
-            smooth(&mut tenant.demand, std::mem::take(&mut tenant.requests));
+            tenant.demand += gain * (per_cycle(std::mem::take(&mut tenant.requests)) - tenant.demand);
         }
-        let cycle_admitted = std::mem::take(&mut self.cycle_admitted);
-        smooth(&mut self.capacity.admitted_mean, cycle_admitted);
+        let admitted = per_cycle(std::mem::take(&mut self.cycle_admitted));
+        self.capacity.admitted_mean += gain * (admitted - self.capacity.admitted_mean);
         if elapsed >= 0.5 {
-            let rejected = std::mem::take(&mut self.rejected_within_limit);
-            self.capacity.end_cycle(cycle_admitted / elapsed, rejected);
+            self.capacity.end_cycle(admitted, std::mem::take(&mut self.rejected_within_limit));
         }
         let capacity = self.capacity.per_cycle;
         let mut seen: Vec<&mut TenantState> = self.tenants.iter_mut().filter(|tenant| tenant.seen).collect();
         // Tiny counts: a limit at the mean rejects half the cycles of a steady tenant, so one deviation more.
         let demands: Vec<f64> = seen.iter().map(|tenant| tenant.demand + tenant.demand.sqrt()).collect();
         let weights: Vec<f64> = seen.iter().map(|tenant| tenant.weight).collect();
-        let renewed = limits(capacity, &demands, &weights, RESERVATION);
-        for (tenant, limit) in seen.iter_mut().zip(renewed) {
+        for (tenant, limit) in seen.iter_mut().zip(limits(capacity, &demands, &weights, RESERVATION)) {
             tenant.admitted = (tenant.admitted - tenant.limit * elapsed).clamp(-BURST_CYCLES * limit, limit);
             tenant.limit = limit;
         }
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -64,52 +64,42 @@
         let stated = multiple * quota * CYCLE / 1000.0;
         let first_tier = settings.stage == 0 && stated > 0.0;
         let objective = mean_objective(settings);
-        Capacity {
-            // Without stated quotas nothing is known: the first cycle rejects no one, shows what is carried.
-            per_cycle: if stated > 0.0 { stated } else { 1000.0 },
-            quota: (quota * CYCLE / 1000.0).max(0.1),
-            success: 1.0,
-            admitted_mean: stated,
-            admitted_peak: stated,
-            unloaded: objective / 4.0,
-            on_time: ON_TIME * objective,
-            first_tier,
-            replicas: if first_tier { replicas } else { 1.0 },
-            quota_multiple: 1.0,
-            ..Capacity::default()
-        }
+        let (unloaded, on_time) = (objective / 4.0, ON_TIME * objective);
+        // Without stated quotas nothing is known: the first cycle rejects no one, shows what is carried.
+        let per_cycle = if stated > 0.0 { stated } else { 1000.0 };
+        let quota = (quota * CYCLE / 1000.0).max(0.1);
+        let replicas = if first_tier { replicas } else { 1.0 };
+        let ratios = Capacity { success: 1.0, quota_multiple: 1.0, ..Capacity::default() };
+        let rates = Capacity { per_cycle, quota, admitted_mean: stated, admitted_peak: stated, ..ratios };
+        Capacity { unloaded, on_time, first_tier, replicas, ..rates }
     }
 
-    /// Responses tell of an overload late. Requests in flight tell at once: more than the capacity takes in
-    /// the unloaded latency wait somewhere. What it grew to on a calm day is no measure for these.
-    /// Returns where tenants above their limits are rejected, and where all are.
+    /// Requests in flight at which tenants above their limits are rejected, and at which all are. More than
+    /// capacity takes in the unloaded latency wait somewhere, long before late responses tell of it.
     pub(super) fn inflight_limits(&self) -> (f64, f64) {
         let stated = self.quota * self.endpoint_share() * self.quota_multiple;
-        let tested = if self.first_tier { self.per_cycle.min(stated) } else { self.per_cycle };
+        let rate = if self.first_tier { self.per_cycle.min(stated) } else { self.per_cycle };
         // One replica keeps endpoints level; many load them by chance, and all hold as much as they may.
         let blend = |alone: f64, shared: f64| shared + (alone - shared) / self.replicas;
-        let inflight =
-            |latency: Millis| (tested / CYCLE * latency + blend(INFLIGHT_SPARE, 0.0)).max(INFLIGHT_MIN);
+        let limit = |latency: Millis| (rate / CYCLE * latency + blend(INFLIGHT_SPARE, 0.0)).max(INFLIGHT_MIN);
         let hard_alone = (self.unloaded * INFLIGHT_HARD).max(self.on_time);
-        let full = inflight(self.unloaded * blend(INFLIGHT_FULL, 1.0));
-        (full, inflight(blend(hard_alone, self.unloaded * INFLIGHT_HARD_SHARED)))
+        let hard = blend(hard_alone, self.unloaded * INFLIGHT_HARD_SHARED);
+        (limit(self.unloaded * blend(INFLIGHT_FULL, 1.0)), limit(hard))
     }
 
-    /// Whether as many requests are in flight as the own zone carries for this replica: where clients come
-    /// unevenly others idle meanwhile, and crossing zones costs less than a rejection.
+    /// Whether the own zone is full for this replica: others idle where clients come unevenly.
     pub(super) fn spills(&self, local_inflight: f64, local_share: f64) -> bool {
         let even = self.quota * self.endpoint_share() * local_share / CYCLE * self.unloaded;
         self.first_tier && local_inflight >= even.max(INFLIGHT_MIN)
     }
 
-    /// The unloaded latency is the least mean of late, let up only while nearly all are in time: in a jam it
-    /// would let more requests in, and overloaded servers never get the rest that they recover by.
+    /// Unloaded latency: the least mean of late. Let up in a jam, it would keep overloaded servers so.
     pub(super) fn record_latency(&mut self, latency: Millis) {
         let succeeds = self.success >= UNLOADED_SUCCESS;
         self.unqueued = succeeds && latency <= self.unloaded * INFLIGHT_HARD_SHARED;
         let jams = !succeeds || latency > self.unloaded * INFLIGHT_FULL;
-        let step = if jams { QUOTA_MULTIPLE_STEP } else { 1.0 };
-        self.quota_multiple = (self.quota_multiple / step).max(1.0);
+        let fallen = (self.quota_multiple / QUOTA_MULTIPLE_STEP).max(1.0);
+        self.quota_multiple = if jams { fallen } else { self.quota_multiple };
         let growth = if succeeds { 1.0 + UNLOADED_GROWTH } else { 1.0 };
         self.unloaded = (self.unloaded * growth).min(latency);
     }
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -26,15 +26,13 @@
 impl Endpoint {
     fn new(member: Member, now: Millis, rng: &mut Pcg64Mcg) -> Self {
         // Hundreds of replicas must not each send their first request at once: start in random phase.
-        let (slowness, tokens) = (1.0, unit(rng));
         let times = Endpoint { idle_since: now, awaited_since: now, tokens_at: now, ..Default::default() };
-        Endpoint { member, slowness, tokens, ..times }
+        Endpoint { member, slowness: 1.0, tokens: unit(rng), ..times }
     }
 
     /// Restarted under its old id: in slow start again, and its history is forgotten.
     fn restart(&mut self, member: Member, now: Millis, rng: &mut Pcg64Mcg) {
-        let classes = std::mem::take(&mut self.classes);
-        let Endpoint { inflight, not_awaited, .. } = *self;
+        let Endpoint { inflight, not_awaited, classes, .. } = std::mem::take(self);
         *self = Endpoint { inflight, not_awaited, classes, ..Endpoint::new(member, now, rng) };
     }
 
@@ -58,6 +56,16 @@
         self.last_used = now;
         self.tokens -= 1.0;
     }
+
+    pub(super) fn record_end(&mut self, attempt: &Attempt, ending: Ending, now: Millis) {
+        use Ending::{Cancelled, ConnectFailed, Reset, Timeout};
+        let closed = matches!(ending, Timeout | Reset | Cancelled | ConnectFailed);
+        self.idle_since = if self.inflight >= self.connections { now } else { self.idle_since };
+        self.connections = self.connections.saturating_sub(u32::from(closed));
+        self.inflight = self.inflight.saturating_sub(1);
+        self.classes.iter().position(|&class| class == attempt.class).map(|at| self.classes.swap_remove(at));
+        self.last_used = now;
+    }
 }
 
 /// What takes requests on the ordinary path, slow starts by what they can do; requests in flight there.
@@ -74,8 +82,8 @@
     pub(super) slots: Vec<Endpoint>,
     pub(super) by_id: BTreeMap<UpstreamId, usize>,
     free: Vec<usize>,
-    pub(super) pools: Vec<Pool>,
-    pub(super) pool_of_class: Vec<usize>,
+    /// Endpoints of the subset that each class may go to: those of the own zone, and the others.
+    pub(super) candidates: Vec<[Vec<usize>; 2]>,
     /// Endpoints that staff leave out, whatever the list says; and when they took others back into use.
     pub(super) suspended: BTreeSet<UpstreamId>,
     restored: BTreeMap<UpstreamId, Millis>,
@@ -91,17 +99,13 @@
 
 impl Endpoints {
     pub(super) fn new(settings: Arc<Settings>) -> Self {
-        let (pools, pool_of_class) = Pool::of_classes(&settings.classes);
-        let latency = LatencyModel::new(&settings);
-        Endpoints { settings, pools, pool_of_class, latency, ..Endpoints::default() }
+        Endpoints { latency: LatencyModel::new(&settings), settings, ..Endpoints::default() }
     }
 
     pub(super) fn apply(&mut self, update: Membership, now: Millis, rng: &mut Pcg64Mcg) {
-        let (members, complete) = match update {
-            Membership::Full(members) | Membership::Cached(members) => (members, true),
-            Membership::Delta(members) => (members, false),
-            Membership::Failed => return,
-        };
+        use Membership::{Cached, Delta, Full};
+        let complete = !matches!(update, Delta(_));
+        let (Full(members) | Cached(members) | Delta(members)) = update else { return };
         let listed: BTreeSet<UpstreamId> = members.iter().map(|member| member.id).collect();
         for endpoint in self.slots.iter_mut().filter(|slot| complete && !listed.contains(&slot.member.id)) {
             endpoint.member.availability = Availability::Gone;
@@ -126,14 +130,12 @@
 
     /// Takes an endpoint back into use that staff had left out, listed or not.
     pub(super) fn restore(&mut self, id: UpstreamId, since: Millis, now: Millis, rng: &mut Pcg64Mcg) {
-        let ramp_time = self.settings.ramp_time;
         self.suspended.remove(&id);
-        self.restored.retain(|_, &mut at| now - at < ramp_time);
+        self.restored.retain(|_, &mut at| now - at < self.settings.ramp_time);
         self.restored.insert(id, since);
-        self.slow_start_ends = self.slow_start_ends.max(since + ramp_time);
-        if let Some(&index) = self.by_id.get(&id) {
-            let member = self.slots[index].member.clone();
-            self.slots[index].restart(member, now, rng);
+        self.slow_start_ends = self.slow_start_ends.max(since + self.settings.ramp_time);
+        if let Some(endpoint) = self.by_id.get(&id).map(|&index| &mut self.slots[index]) {
+            endpoint.restart(endpoint.member.clone(), now, rng);
         }
         self.choose_subset();
     }
@@ -146,10 +148,9 @@
 
     /// Frees the slot of an endpoint that is gone once nothing is in flight to it.
     pub(super) fn forget_if_gone(&mut self, index: usize) {
-        let Endpoint { member, inflight, .. } = &self.slots[index];
-        let gone = member.availability == Availability::Gone && *inflight == 0;
-        if gone && self.by_id.get(&member.id) == Some(&index) {
-            self.by_id.remove(&member.id);
+        let Endpoint { member: Member { id, availability, .. }, inflight, .. } = &self.slots[index];
+        if *availability == Availability::Gone && *inflight == 0 && self.by_id.get(id) == Some(&index) {
+            self.by_id.remove(id);
             self.free.push(index);
         }
     }
@@ -157,15 +158,13 @@
     /// What others still owe, those that left and overloaded ones, is no burden.
     pub(super) fn admissible_load(&self, now: Millis) -> AdmissibleLoad {
         let mut load = AdmissibleLoad::default();
-        for &index in self.by_id.values().filter(|&&index| self.is_open(index)) {
+        let open = self.by_id.values().filter(|&&index| self.is_open(index));
+        for &index in open.filter(|&&i| now >= self.slots[i].ejected_until && !self.is_overloaded(i, now)) {
             let endpoint = &self.slots[index];
-            if now >= endpoint.ejected_until && !self.is_overloaded(index, now) {
-                let awaited = f64::from(endpoint.awaited());
-                let local = endpoint.member.zone == self.settings.zone;
-                load.endpoints += self.warmth(index, now);
-                load.inflight += awaited;
-                load.local_inflight += if local { awaited } else { 0.0 };
-            }
+            let awaited = f64::from(endpoint.awaited());
+            load.endpoints += self.warmth(index, now);
+            load.inflight += awaited;
+            load.local_inflight += if endpoint.member.zone == self.settings.zone { awaited } else { 0.0 };
         }
         load
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -12,7 +12,7 @@
 const SUSPECT_AT: f64 = 0.2;
 
 pub(super) struct Attempt {
-    number: u32,
+    pub(super) number: u32,
     pub(super) class: usize,
     pub(super) endpoint: usize,
     /// When all of it was sent; infinite until then.
@@ -24,7 +24,7 @@
 /// The first attempt that may have run.
 #[derive(Clone, Copy)]
 pub(super) struct FirstRun {
-    attempt: u32,
+    pub(super) attempt: u32,
     sent: Millis,
     pub(super) zone: u16,
     pub(super) group: u16,
@@ -37,7 +37,7 @@
     pub(super) ends: Millis,
     pub(super) sends: u32,
     pub(super) attempts: Vec<Attempt>,
-    first_run: Option<FirstRun>,
+    pub(super) first_run: Option<FirstRun>,
     avoid: Option<usize>,
     pub(super) closed: bool,
 }
@@ -45,12 +45,8 @@
 /// When a request ends whose client gives up at `deadline`.
 fn useful_until(class: &Class, deadline: Millis, now: Millis) -> Millis {
     // A late response that earns nothing only holds a slot in every tier above.
-    let useful = if class.late_worth > 0.0 { f64::INFINITY } else { now + class.objective * USEFUL_SHARE };
-    if deadline == f64::INFINITY {
-        deadline
-    } else {
-        deadline.min(useful)
-    }
+    let unlimited = deadline == f64::INFINITY || class.late_worth > 0.0;
+    deadline.min(if unlimited { f64::INFINITY } else { now + class.objective * USEFUL_SHARE })
 }
 
 impl Balancer {
@@ -62,12 +58,10 @@
         self.record_load(now);
         let class = self.settings.classes.get(request.class);
         let Some(class) = class.filter(|_| self.admission.admit(request.tenant, now)) else {
-            actions.push(self.rejection(request.id));
-            return;
+            return actions.push(self.rejection(request.id));
         };
         let ends = useful_until(class, request.deadline, now);
-        let pending = PendingRequest { class: request.class, ends, ..PendingRequest::default() };
-        self.pending.insert(request.id, pending);
+        self.pending.insert(request.id, PendingRequest { class: request.class, ends, ..Default::default() });
         if !self.send(now, request.id, actions) {
             self.give_up(request.id, actions);
         }
@@ -76,7 +70,8 @@
     pub(super) fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(index) = self.pick_endpoint(now, id) else { return false };
         let mut idle_step = IdleLosses::step(&self.endpoints.slots[index], self.settings.idle_close, now);
-        if self.endpoints.idle_losses.closes(idle_step, &mut self.rng) {
+        let stale = (1..=idle_step).any(|shorter| self.endpoints.idle_losses.is_stale(shorter));
+        if stale && unit(&mut self.rng) > PROBE_SHARE {
             actions.push(Action::CloseIdle(self.endpoints.slots[index].member.id));
             idle_step = 0;
         }
@@ -108,37 +103,33 @@
             (Some(run), Effect::Guarded { scope, .. }) => Some((scope, run)),
         };
         let endpoints = &mut self.endpoints;
-        let pool = endpoints.pool_of_class[class];
-        let pool_sizes = endpoints.pools.iter().map(|pool| pool.endpoints.iter().map(Vec::len).sum());
-        let largest_pool = pool_sizes.fold(1, usize::max) as f64;
+        let counts = endpoints.candidates.iter().map(|zones| zones.iter().map(Vec::len).sum());
+        let most_candidates = counts.fold(1, usize::max) as f64;
         let ready_share = endpoints.ready as f64 / endpoints.ready_max.max(1) as f64;
-        let Capacity { first_tier, quota, admitted_mean, .. } = self.admission.capacity;
-        let carried = if first_tier { quota * ready_share } else { admitted_mean };
-        let even_rate = carried / CYCLE / largest_pool;
-        let usual = PickRequest { now, pool, even_rate, avoid, last_resort: false, repeat };
+        let Admission { capacity, load, .. } = &self.admission;
+        let carried = if capacity.first_tier { capacity.quota * ready_share } else { capacity.admitted_mean };
+        let even_rate = carried / CYCLE / most_candidates;
+        let usual = PickRequest { now, class, even_rate, avoid, last_resort: false, repeat };
         let last_resort = PickRequest { avoid: None, last_resort: true, ..usual };
-        let local_inflight = self.admission.load.local_inflight;
-        let spills = self.admission.capacity.spills(local_inflight, endpoints.local_share);
+        let spills = capacity.spills(load.local_inflight, endpoints.local_share);
         let tries = [(spills, usual), (!spills, usual), (false, last_resort), (true, last_resort)];
         tries.iter().find_map(|(remote, request)| endpoints.pick(*remote, request, &mut self.rng))
     }
 
     /// The request's end, unless responses got lost of late and a repeat is legal and in time.
     fn timeout(&self, pending: &PendingRequest, index: usize, idle_step: usize, now: Millis) -> Millis {
-        if pending.ends == f64::INFINITY {
-            return 0.0;
-        }
         let endpoint = &self.endpoints.slots[index];
-        let losses = self.endpoints.idle_losses.shares[idle_step];
+        let losses = self.endpoints.idle_losses.0[idle_step];
         let suspect = endpoint.failure_rate > SUSPECT_AT || losses > SUSPECT_AT / 4.0;
         let legal = self.settings.classes[pending.class].effect != Effect::SingleShot;
         let repeats = legal && pending.sends < self.settings.attempts_cap && self.retries >= 1.0;
         let ExpectedLatency { mean, deviation, .. } = self.endpoints.latency.classes[pending.class];
         let patience = mean * endpoint.slowness.clamp(1.0, 3.0) + (TIMEOUT_DEVIATIONS * deviation).max(mean);
-        if suspect && repeats && now + patience + mean < pending.ends {
-            return patience;
+        match pending.ends {
+            f64::INFINITY => 0.0,
+            ends if suspect && repeats && now + patience + mean < ends => patience,
+            ends => ends - now,
         }
-        pending.ends - now
     }
 
     /// Gives the one final answer: a rejection where another try is known to do no harm, else a failure.
@@ -162,8 +153,7 @@
 
     /// All of a request has come: its attempts are owed a response from now on.
     pub(super) fn complete(&mut self, now: Millis, id: RequestId, deadline: Millis) {
-        let incomplete = |pending: &&mut PendingRequest| pending.ends == f64::INFINITY;
-        let Some(pending) = self.pending.get_mut(&id).filter(incomplete) else { return };
+        let Some(pending) = self.pending.get_mut(&id).filter(|p| p.ends == f64::INFINITY) else { return };
         pending.ends = useful_until(&self.settings.classes[pending.class], deadline, now);
         for attempt in pending.attempts.iter_mut().filter(|attempt| attempt.sent == f64::INFINITY) {
             attempt.sent = now;
@@ -180,11 +170,10 @@
     pub(super) fn response_started(&mut self, now: Millis, id: RequestId, number: u32) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         pending.closed = true;
-        if let Some(attempt) = pending.attempts.iter_mut().find(|attempt| attempt.number == number) {
-            let endpoint = &mut self.endpoints.slots[attempt.endpoint];
-            endpoint.awaited_since = now;
-            endpoint.not_awaited += u32::from(std::mem::take(&mut attempt.awaited));
-        }
+        let Some(attempt) = pending.attempts.iter_mut().find(|a| a.number == number) else { return };
+        let endpoint = &mut self.endpoints.slots[attempt.endpoint];
+        endpoint.awaited_since = now;
+        endpoint.not_awaited += u32::from(std::mem::take(&mut attempt.awaited));
     }
 
     pub(super) fn client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -201,57 +190,19 @@
     pub(super) fn record_overdue(&mut self, now: Millis) {
         self.admission.inflight_lost = 0.0;
         for pending in self.pending.values().filter(|pending| !pending.closed) {
-            let Some(attempt) = pending.attempts.last() else { continue };
+            let Some(&Attempt { endpoint, sent, idle_step, .. }) = pending.attempts.last() else { continue };
             // The time-out tells of stale connections too late: lost requests fill what may be in flight.
             let ExpectedLatency { mean, deviation, .. } = self.endpoints.latency.classes[pending.class];
-            let overdue = now - attempt.sent - mean - TIMEOUT_DEVIATIONS * deviation;
+            let overdue = now - sent - mean - TIMEOUT_DEVIATIONS * deviation;
             if (0.0..CYCLE).contains(&overdue) {
-                self.endpoints.idle_losses.record(attempt.idle_step, Ending::Timeout, overdue);
+                self.endpoints.idle_losses.record(idle_step, Ending::Timeout, overdue);
             }
-            if overdue >= 0.0 && self.endpoints.idle_losses.is_stale(attempt.idle_step) {
-                self.admission.inflight_lost += 1.0;
-                continue;
-            }
-            let ratio = latency_ratio(now - attempt.sent, self.settings.classes[pending.class].objective);
-            if ratio > 0.0 && !self.endpoints.is_unresponsive(attempt.endpoint, now) {
+            let lost = overdue >= 0.0 && self.endpoints.idle_losses.is_stale(idle_step);
+            self.admission.inflight_lost += f64::from(u8::from(lost));
+            let ratio = latency_ratio(now - sent, self.settings.classes[pending.class].objective);
+            if ratio > 0.0 && !lost && !self.endpoints.is_overdue(endpoint, UNRESPONSIVE_FACTOR, now) {
                 self.admission.capacity.record_response(ratio);
             }
         }
     }
-
-    pub(super) fn attempt_ended(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
-        let Event::Outcome { request: id, attempt: number, ending, duration, closed } = event else { return };
-        let Some(pending) = self.pending.get_mut(&id) else { return };
-        let Some(at) = pending.attempts.iter().position(|attempt| attempt.number == number) else { return };
-        let attempt = pending.attempts.swap_remove(at);
-        let (index, is_last) = (attempt.endpoint, pending.attempts.is_empty());
-        let endpoint = &mut self.endpoints.slots[index];
-        endpoint.not_awaited = endpoint.not_awaited.saturating_sub(u32::from(!attempt.awaited));
-        // Where upstreams also shed work that they had begun, 'full' proves nothing.
-        let never_ran = ending.never_ran() && !(ending == Ending::Full && self.settings.late_shedding);
-        if never_ran && is_last && pending.first_run.is_some_and(|run| run.attempt == number) {
-            pending.first_run = None;
-        }
-        pending.closed |= closed;
-        let closed = pending.closed;
-        let own_fault = self.endpoints.record_outcome(&attempt, ending, duration, now, &mut self.rng);
-        self.endpoints.forget_if_gone(index);
-        let objective = self.settings.classes[attempt.class].objective;
-        let ratio = match ending {
-            Ending::Ok => Some(latency_ratio(duration, objective)),
-            Ending::Cancelled | Ending::Moot => None,
-            // Blame the server or the connection, not the whole tier, for failures that are its own.
-            _ if own_fault || self.endpoints.idle_losses.is_stale(attempt.idle_step) => None,
-            _ => Some(LATENCY_RATIO_MAX),
-        };
-        ratio.into_iter().for_each(|ratio| self.admission.capacity.record_response(ratio));
-        let retries = ending != Ending::Ok && self.retries >= 1.0;
-        if closed && is_last {
-            self.pending.remove(&id);
-        } else if is_last && retries && self.send(now, id, actions) {
-            self.retries -= 1.0;
-        } else if is_last {
-            self.give_up(id, actions);
-        }
-    }
 }
