Add a scale run: real balancers on loopback between stand-ins

The system is to grow to 3,200 upstreams and nothing measured how costs grow with size. The new crate scale/ starts herondock as deploy/balancer.toml says, between stand-ins written from the protocol: discovery with watches, deltas and whole lists, services with cores, queue and answer time that call on through balancers of their own, and open-loop clients whose latency counts from the planned send. Unknown keys, impossible sizes and a missing build end it with one line before anything starts; a signal or an error ends every process that it started.

--- /dev/null
+++ b/scale/src/machine.rs
@@ -0,0 +1,64 @@
+//! What processes use, and what of the machine a run may use.
+use crate::error::ScaleError;
+use procfs::process::Process;
+use procfs::{Current, Meminfo};
+use serde::Serialize;
+use std::time::Duration;
+
+const MB: f64 = 1024.0 * 1024.0;
+const KB: f64 = 1024.0;
+/// Share of the machine's memory that a run may use.
+const MEMORY_SHARE: f64 = 0.5;
+
+/// The machine that a run was made on.
+#[derive(Clone, Debug, Serialize)]
+pub struct Machine {
+    /// Processors.
+    pub processors: usize,
+    /// Memory.
+    pub memory_mb: f64,
+}
+
+impl Machine {
+    /// This machine.
+    pub fn current() -> Result<Machine, ScaleError> {
+        let processors = std::thread::available_parallelism()?.get();
+        Ok(Machine { processors, memory_mb: total_memory_mb()? })
+    }
+}
+
+/// What one process has used since its start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Time on a processor, over all threads.
+    pub processor: Duration,
+    /// Memory resident now.
+    pub resident_mb: f64,
+}
+
+impl Usage {
+    /// Reads the usage of a running process.
+    pub fn of(pid: u32) -> Result<Usage, ScaleError> {
+        let failed = |source| ScaleError::Process { pid, source };
+        let process = Process::new(pid as i32).map_err(failed)?;
+        let mut processor = Duration::ZERO;
+        for task in process.tasks().map_err(failed)? {
+            // A thread that has just ended is left out.
+            if let Ok(schedule) = task.and_then(|task| task.schedstat()) {
+                processor += Duration::from_nanos(schedule.sum_exec_runtime);
+            }
+        }
+        let resident_kb = process.status().map_err(failed)?.vmrss.unwrap_or(0);
+        Ok(Usage { processor, resident_mb: resident_kb as f64 / KB })
+    }
+}
+
+/// Memory that all processes of a run together may use.
+pub fn allowed_memory_mb() -> Result<f64, ScaleError> {
+    Ok(total_memory_mb()? * MEMORY_SHARE)
+}
+
+fn total_memory_mb() -> Result<f64, ScaleError> {
+    let meminfo = Meminfo::current().map_err(ScaleError::Machine)?;
+    Ok(meminfo.mem_total as f64 / MB)
+}
--- /dev/null
+++ b/scale/src/main.rs
@@ -0,0 +1,15 @@
+//! `scale`: runs an experiment file and reports what it measured. See the README.
+#![forbid(unsafe_code)]
+use clap::Parser;
+use scale::cli::Arguments;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match scale::cli::execute(Arguments::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("scale: {}", error.to_string().replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/scale/src/report.rs
@@ -0,0 +1,237 @@
+//! What a run found: JSON with every repeat, and a table of each figure's spread.
+mod table;
+
+use crate::experiment::{CallsSize, ControlSize, Experiment};
+use crate::machine::Machine;
+use crate::statistics::spreads;
+use serde::Serialize;
+
+/// The results of an experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The experiment as it was run.
+    pub experiment: Experiment,
+    /// The commit of the repository, with `-dirty` where files differ from it; none outside of one.
+    pub commit: Option<String>,
+    /// Where it ran.
+    pub machine: Machine,
+    /// Wall time of the whole run.
+    pub seconds: f64,
+    /// Measurements of calls.
+    pub calls: Vec<Point<CallsSize, CallsFigures>>,
+    /// Measurements of control.
+    pub control: Vec<Point<ControlSize, ControlFigures>>,
+}
+
+/// One combination of sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point<S, F> {
+    /// The sizes.
+    pub size: S,
+    /// The spread of each main figure over the repeats.
+    pub spread: Vec<Spread>,
+    /// Every measurement.
+    pub repeats: Vec<F>,
+}
+
+/// A figure that is compared between repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figure {
+    /// Its name, with its unit.
+    pub name: &'static str,
+    /// Its value.
+    pub value: f64,
+}
+
+/// A figure over all repeats.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq)]
+pub struct Spread {
+    /// The figure's name, with its unit.
+    pub name: &'static str,
+    /// Its least value.
+    pub least: f64,
+    /// Its median.
+    pub median: f64,
+    /// Its greatest value.
+    pub most: f64,
+}
+
+/// A distribution of times.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Percentiles {
+    /// How many times there are.
+    pub count: u64,
+    /// Median.
+    pub p50_us: f64,
+    /// 99 in 100 are no longer.
+    pub p99_us: f64,
+    /// 999 in 1000 are no longer.
+    pub p999_us: f64,
+    /// The longest.
+    pub max_us: f64,
+}
+
+/// How calls ended, as their clients saw it.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Outcomes {
+    /// Sent.
+    pub calls: u64,
+    /// Answered with 200.
+    pub served: u64,
+    /// Answered with 429 or 503.
+    pub rejected: u64,
+    /// Answered otherwise.
+    pub failed: u64,
+    /// Not answered whole, or not in time.
+    pub unanswered: u64,
+}
+
+/// Times of one kind of calls on one kind of connections, without the time that the service had them.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct GroupTimes {
+    /// The class.
+    pub class: &'static str,
+    /// Whether the clients' connection was new.
+    pub new_connection: bool,
+    /// From sending to the answer's last byte, less the service's own time.
+    pub outside_service: Percentiles,
+}
+
+/// The clients' view of one load.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadFigures {
+    /// How calls ended.
+    pub outcomes: Outcomes,
+    /// How much later than planned the clients sent.
+    pub send_lateness: Percentiles,
+    /// From the planned time to the answer's last byte; of calls served.
+    pub latency: Percentiles,
+    /// From sending to the answer's last byte, less the service's own time; of calls served.
+    pub outside_service: Percentiles,
+    /// From sending until the service had the whole request; of calls served.
+    pub request_way: Percentiles,
+    /// The same by class and connection.
+    pub groups: Vec<GroupTimes>,
+}
+
+/// One measurement of calls.
+#[derive(Clone, Debug, Serialize)]
+pub struct CallsFigures {
+    /// Through the balancers.
+    pub through: LoadFigures,
+    /// The same load straight to the first service.
+    pub straight: Option<LoadFigures>,
+    /// Processor time of the first balancer for each call at the top.
+    pub processor_us_per_call: f64,
+    /// Memory of the first balancer.
+    pub resident_mb: f64,
+    /// Calls that came to each service for each call at the top, the first service first.
+    pub attempts_per_call: Vec<f64>,
+}
+
+impl CallsFigures {
+    /// The figures that the table shows.
+    pub fn figures(&self) -> Vec<Figure> {
+        let load = &self.through;
+        let calls = load.outcomes.calls.max(1) as f64;
+        let percent = |count: u64| 100.0 * count as f64 / calls;
+        let mut figures = vec![
+            Figure { name: "calls", value: load.outcomes.calls as f64 },
+            Figure { name: "served_percent", value: percent(load.outcomes.served) },
+            Figure { name: "rejected_percent", value: percent(load.outcomes.rejected) },
+            Figure { name: "latency_p50_us", value: load.latency.p50_us },
+            Figure { name: "latency_p99_us", value: load.latency.p99_us },
+            Figure { name: "send_lateness_p99_us", value: load.send_lateness.p99_us },
+            Figure { name: "processor_us_per_call", value: self.processor_us_per_call },
+            Figure { name: "resident_mb", value: self.resident_mb },
+        ];
+        if let Some(last) = self.attempts_per_call.last() {
+            figures.push(Figure { name: "attempts_at_bottom_per_call", value: *last });
+        }
+        if let Some(straight) = &self.straight {
+            figures.extend(added(&load.outside_service, &straight.outside_service));
+        }
+        figures
+    }
+}
+
+/// What the balancer adds: each percentile through it less the same straight to the service.
+fn added(through: &Percentiles, straight: &Percentiles) -> [Figure; 3] {
+    [
+        Figure { name: "added_p50_us", value: through.p50_us - straight.p50_us },
+        Figure { name: "added_p99_us", value: through.p99_us - straight.p99_us },
+        Figure { name: "added_p999_us", value: through.p999_us - straight.p999_us },
+    ]
+}
+
+/// What one balancer used during a measurement of control.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct BalancerUse {
+    /// Share of a core.
+    pub processor_percent: f64,
+    /// Processor time from its start until the measurement began.
+    pub start_processor_ms: f64,
+    /// Memory at the end.
+    pub resident_mb: f64,
+}
+
+/// One measurement of control. Messages and bytes are those between a balancer and its discovery, both ways.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlFigures {
+    /// Each real balancer.
+    pub real: Vec<BalancerUse>,
+    /// Bytes for each balancer until all were ready.
+    pub start_bytes_per_balancer: f64,
+    /// Bytes a second for each balancer.
+    pub bytes_per_second: f64,
+    /// Requests to discovery a second for each balancer.
+    pub messages_per_second: f64,
+    /// Changes of which the time in force was measured.
+    pub changes: u64,
+    /// Balancers that were to be told.
+    pub balancers: u64,
+    /// Changes that all balancers had in force at the end.
+    pub changes_in_force_at_all: u64,
+    /// For each change, until 99 in 100 balancers had it in force.
+    pub in_force_at_99_percent: Percentiles,
+    /// For each change, until all balancers had it in force.
+    pub in_force_at_all: Percentiles,
+}
+
+impl ControlFigures {
+    /// The figures that the table shows.
+    pub fn figures(&self) -> Vec<Figure> {
+        let mean = |of: fn(&BalancerUse) -> f64| {
+            self.real.iter().map(of).sum::<f64>() / self.real.len().max(1) as f64
+        };
+        let not_in_force = (self.changes - self.changes_in_force_at_all) as f64;
+        vec![
+            Figure { name: "processor_percent", value: mean(|balancer| balancer.processor_percent) },
+            Figure { name: "start_processor_ms", value: mean(|balancer| balancer.start_processor_ms) },
+            Figure { name: "resident_mb", value: mean(|balancer| balancer.resident_mb) },
+            Figure { name: "start_bytes_per_balancer", value: self.start_bytes_per_balancer },
+            Figure { name: "bytes_per_second", value: self.bytes_per_second },
+            Figure { name: "messages_per_second", value: self.messages_per_second },
+            Figure { name: "changes", value: self.changes as f64 },
+            Figure { name: "changes_not_in_force_at_all", value: not_in_force },
+            Figure { name: "in_force_at_99_percent_max_us", value: self.in_force_at_99_percent.max_us },
+            Figure { name: "in_force_at_all_max_us", value: self.in_force_at_all.max_us },
+        ]
+    }
+}
+
+impl<S> Point<S, CallsFigures> {
+    /// A point of calls with its spread.
+    pub fn of_calls(size: S, repeats: Vec<CallsFigures>) -> Self {
+        let figures: Vec<_> = repeats.iter().map(CallsFigures::figures).collect();
+        Point { size, spread: spreads(&figures), repeats }
+    }
+}
+
+impl<S> Point<S, ControlFigures> {
+    /// A point of control with its spread.
+    pub fn of_control(size: S, repeats: Vec<ControlFigures>) -> Self {
+        let figures: Vec<_> = repeats.iter().map(ControlFigures::figures).collect();
+        Point { size, spread: spreads(&figures), repeats }
+    }
+}
--- /dev/null
+++ b/scale/tests/command.rs
@@ -0,0 +1,208 @@
+//! The command itself: the smoke experiment from end to end, what is refused before anything starts, and interruption.
+use serde_json::Value;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::sync::OnceLock;
+
+const DEPLOYMENT: &str = "deploy/balancer.toml";
+const SMOKE: &str = "scale/experiments/smoke.toml";
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace's root")
+}
+
+/// Makes sure that the program that the deployment file names is there and up to date. With the arguments of that file
+/// this finds what `.ci/run` has built.
+fn build_balancer() {
+    static BUILT: OnceLock<()> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let cargo = std::env::var_os("CARGO").expect("tests are run by cargo");
+        let arguments = ["build", "--release", "--locked", "--workspace"];
+        let built = Command::new(cargo).args(arguments).current_dir(root()).status().expect("cargo runs");
+        assert!(built.success(), "the balancer is built");
+    });
+}
+
+fn scale(experiment: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_scale"));
+    command.current_dir(root()).arg("run").arg(experiment);
+    command
+}
+
+/// An empty directory of one test.
+fn directory(name: &str) -> PathBuf {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&directory);
+    fs::create_dir_all(&directory).expect("a directory");
+    directory
+}
+
+/// The smoke experiment with one text in it replaced.
+fn changed_smoke(name: &str, from: &str, to: &str) -> PathBuf {
+    let smoke = fs::read_to_string(root().join(SMOKE)).expect("the smoke experiment");
+    assert!(smoke.contains(from), "{from:?} stands in the smoke experiment");
+    let path = directory(name).join("experiment.toml");
+    fs::write(&path, smoke.replacen(from, to, 1)).expect("writes");
+    path
+}
+
+/// Checks that the command ended with one line of plain text that has this in it, before anything started.
+fn assert_refused(output: &Output, wanted: &str) {
+    let errors = String::from_utf8(output.stderr.clone()).expect("text");
+    assert!(!output.status.success(), "it fails: {errors}");
+    assert_eq!(errors.lines().count(), 1, "one line: {errors}");
+    assert!(errors.starts_with("scale: "), "plain: {errors}");
+    assert!(errors.contains(wanted), "{wanted:?} in {errors}");
+    assert!(output.stdout.is_empty(), "nothing was measured");
+}
+
+/// The process ids of the balancers that this log says were started.
+fn started_balancers(log: &str) -> Vec<u64> {
+    let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.filter_map(|line| line["fields"]["pid"].as_u64()).collect()
+}
+
+fn assert_ended(balancers: &[u64]) {
+    for pid in balancers {
+        assert!(!Path::new(&format!("/proc/{pid}")).exists(), "balancer {pid} has ended");
+    }
+}
+
+#[test]
+fn the_smoke_experiment_runs_from_end_to_end() {
+    build_balancer();
+    let out = directory("smoke-report");
+    let output = scale(Path::new(SMOKE)).arg("--out").arg(&out).output().expect("runs");
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{log}");
+    let balancers = started_balancers(&log);
+    assert!(!balancers.is_empty(), "structured lines name the balancers: {log}");
+    assert_ended(&balancers);
+
+    let report = fs::read(out.join("smoke.json")).expect("a report");
+    let report: Value = serde_json::from_slice(&report).expect("JSON");
+    let calls = report["calls"].as_array().expect("points");
+    assert_eq!(calls.len(), 4);
+    for point in calls {
+        let through = &point["repeats"][0]["through"]["outcomes"];
+        let served = through["served"].as_u64().expect("a count");
+        assert!(served > 0, "{point}");
+        let depth = point["size"]["depth"].as_u64().expect("a depth");
+        let attempts = point["repeats"][0]["attempts_per_call"].as_array().expect("attempts");
+        assert_eq!(attempts.len() as u64, depth, "one figure for each service");
+    }
+    let control = &report["control"][0]["repeats"][0];
+    assert_eq!(control["real"].as_array().map(Vec::len), Some(3));
+    assert!(control["messages_per_second"].as_f64().expect("a figure") > 0.0);
+
+    let table = String::from_utf8(output.stdout).expect("text");
+    assert!(table.contains("added_p99_us") && table.contains("64 endpoints"), "{table}");
+}
+
+#[test]
+fn an_unknown_key_is_refused() {
+    let experiment = changed_smoke("unknown-key", "cores =", "corse =");
+    let output = scale(&experiment).output().expect("runs");
+    assert_refused(&output, "corse");
+    assert_refused(&output, "line 12");
+}
+
+#[test]
+fn a_file_that_is_not_there_is_refused() {
+    let output = scale(Path::new("scale/experiments/none.toml")).output().expect("runs");
+    assert_refused(&output, "none.toml");
+}
+
+#[test]
+fn impossible_sizes_are_refused() {
+    for (from, to, key) in [
+        ("repeats = 1", "repeats = 0", "repeats"),
+        ("measure_seconds = 1.0", "measure_seconds = 900.0", "measure_seconds"),
+        ("depth = [1, 3]", "depth = [1, 26]", "calls.depth"),
+        ("depth = [1, 3]", "depth = []", "calls.depth"),
+        ("calls_per_second = [50.0]", "calls_per_second = [nan]", "calls.calls_per_second"),
+        (
+            "leaf_failing_percent = [0.0, 10.0]",
+            "leaf_failing_percent = [101.0]",
+            "calls.leaf_failing_percent",
+        ),
+        ("instances = 2", "instances = 100", "calls.instances"),
+        ("endpoints = [64]", "endpoints = [0]", "control.endpoints"),
+        ("real_balancers = 3", "real_balancers = 100000", "control.real_balancers"),
+        ("name = \"smoke\"", "name = \"../smoke\"", "name"),
+    ] {
+        let experiment = changed_smoke("impossible", from, to);
+        let output = scale(&experiment).output().expect("runs");
+        assert_refused(&output, &format!("{key}: "));
+    }
+}
+
+#[test]
+fn faults_are_refused_as_long_as_they_are_not_implemented() {
+    let fault =
+        "[[faults]]\nkind = \"zone_lost\"\nzone = 1\nat_seconds = 1.0\nfor_seconds = 2.0\n\n[control]";
+    let experiment = changed_smoke("faults", "[control]", fault);
+    let output = scale(&experiment).output().expect("runs");
+    assert_refused(&output, "faults: ");
+}
+
+#[test]
+fn a_missing_build_is_refused() {
+    let elsewhere = directory("no-build");
+    fs::create_dir_all(elsewhere.join("deploy")).expect("a directory");
+    fs::copy(root().join(DEPLOYMENT), elsewhere.join(DEPLOYMENT)).expect("copies");
+    let output = scale(Path::new(SMOKE)).arg("--root").arg(&elsewhere).output().expect("runs");
+    assert_refused(&output, "target/release/herondock is missing: build it with `cargo build");
+}
+
+/// Sends one signal once the first balancer runs, and checks that nothing is left.
+fn assert_interrupted_by(signal: &str) {
+    build_balancer();
+    let mut child =
+        scale(Path::new(SMOKE)).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+    let mut log = String::new();
+    while started_balancers(&log).is_empty() {
+        log += &lines.next().expect("a balancer is started").expect("text");
+        log.push('\n');
+    }
+    let kill = format!("kill -{signal} {}", child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("runs sh").success());
+    let rest: Vec<String> = lines.map(|line| line.expect("text")).collect();
+    assert!(!child.wait().expect("ends").success());
+    log += &rest.join("\n");
+    assert_eq!(rest.last().map(String::as_str), Some("scale: interrupted"));
+    assert_ended(&started_balancers(&log));
+}
+
+#[test]
+fn an_interrupt_ends_every_process() {
+    assert_interrupted_by("INT");
+}
+
+#[test]
+fn a_termination_ends_every_process() {
+    assert_interrupted_by("TERM");
+}
+
+#[test]
+fn an_error_ends_every_process() {
+    let elsewhere = directory("bad-program");
+    fs::create_dir_all(elsewhere.join("deploy")).expect("a directory");
+    // The first balancer runs without ever being ready, and its end is noticed.
+    let deployment = "build = \"true\"\nrun = \"exec bin/program\"\n";
+    fs::write(elsewhere.join(DEPLOYMENT), deployment).expect("writes");
+    fs::create_dir_all(elsewhere.join("bin")).expect("a directory");
+    let program = elsewhere.join("bin/program");
+    fs::write(&program, "#!/bin/sh\necho no such setting >&2\nexit 3\n").expect("writes");
+    let executable = format!("chmod +x {}", program.display());
+    assert!(Command::new("sh").args(["-c", &executable]).status().expect("runs sh").success());
+    let output = scale(Path::new(SMOKE)).arg("--root").arg(&elsewhere).output().expect("runs");
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success(), "{log}");
+    let last = log.lines().last().expect("a line");
+    assert!(last.starts_with("scale: balancer tier0-0 ended by itself"), "{last}");
+    assert_ended(&started_balancers(&log));
+}
