Run hollow balancers in a scale run

The time until a change is in force at 3,200 balancers cannot be had with processes alone. A run now also starts processes of hollow balancers: the real decision module, discovery client and endpoint state. A balancer that watches for what follows a version has that version in force, so discovery's stand-in times each change at real and hollow balancers alike.

--- a/scale/src/balancer.rs
+++ b/scale/src/balancer.rs
@@ -4,17 +4,15 @@
 use crate::client::Pool;
 use crate::error::ScaleError;
 use crate::experiment::read_toml;
-use crate::machine::Usage;
+use crate::process::ChildProcess;
 use configuration::Configuration;
 use hyper::StatusCode;
 use serde::Deserialize;
 use std::fs;
-use std::io::{self, BufRead, BufReader};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 /// The platform's deployment file, below the root.
@@ -64,6 +62,20 @@
         fs::create_dir_all(&path)?;
         Ok(Workspace { path })
     }
+
+    /// Writes a configuration into a directory of its balancer's own.
+    pub fn configuration_file(
+        &self,
+        configuration: &Configuration,
+        listen: SocketAddr,
+    ) -> Result<PathBuf, ScaleError> {
+        let directory = self.path.join(&configuration.name);
+        let file = directory.join("config.json");
+        let written =
+            fs::create_dir_all(&directory).and_then(|()| fs::write(&file, configuration.to_json(listen)));
+        written.map_err(|source| ScaleError::Unwritable { path: file.clone(), source })?;
+        Ok(file)
+    }
 }
 
 impl Drop for Workspace {
@@ -75,19 +87,10 @@
 
 /// A running balancer; killed when dropped.
 pub struct BalancerProcess {
-    name: String,
-    child: Child,
+    /// The process.
+    pub process: ChildProcess,
     /// Where it serves callers.
     pub address: SocketAddr,
-    last_log_line: Arc<Mutex<String>>,
-}
-
-impl Drop for BalancerProcess {
-    fn drop(&mut self) {
-        // Both fail only for a process that has ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
 }
 
 impl BalancerProcess {
@@ -97,29 +100,20 @@
         workspace: &Workspace,
         configuration: &Configuration,
     ) -> Result<BalancerProcess, ScaleError> {
-        let name = configuration.name.clone();
-        let not_started = |source| ScaleError::NotStarted { name: name.clone(), source };
-        let address = free_address().map_err(not_started)?;
-        let directory = workspace.path.join(&name);
-        fs::create_dir_all(&directory).map_err(not_started)?;
-        let file = directory.join("config.json");
-        fs::write(&file, configuration.to_json(address)).map_err(not_started)?;
-        let mut child = Command::new("/bin/sh")
+        let name = &configuration.name;
+        let address = free_address()?;
+        let file = workspace.configuration_file(configuration, address)?;
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &deployment.run])
             .current_dir(&deployment.root)
-            .env("NODE_NAME", &name)
+            .env("NODE_NAME", name)
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_DISCOVERY", configuration.discovery.to_string())
             .env("NODE_CONFIG", &file)
-            .env("TMPDIR", &directory)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .map_err(not_started)?;
-        let last_log_line = follow_log(&name, &mut child);
-        tracing::info!(balancer = name, pid = child.id(), %address, "balancer started");
-        Ok(BalancerProcess { name, child, address, last_log_line })
+            .env("TMPDIR", file.parent().unwrap_or(&workspace.path));
+        let process = ChildProcess::start(name, &mut command)?;
+        Ok(BalancerProcess { process, address })
     }
 
     /// Waits until the balancer serves.
@@ -127,52 +121,15 @@
         let pool = Pool::new(self.address, 0);
         let started = Instant::now();
         while !matches!(pool.status(READY).await, Ok(StatusCode::OK)) {
-            self.ensure_running()?;
+            self.process.ensure_running()?;
             if started.elapsed() > READY_WITHIN {
-                let seconds = READY_WITHIN.as_secs();
-                return Err(ScaleError::NotReady { name: self.name.clone(), seconds });
+                let (name, seconds) = (self.process.name().to_string(), READY_WITHIN.as_secs());
+                return Err(ScaleError::NotReady { name, seconds });
             }
             tokio::time::sleep(READY_PAUSE).await;
         }
         Ok(())
     }
-
-    /// Fails if the balancer has ended.
-    pub fn ensure_running(&mut self) -> Result<(), ScaleError> {
-        match self.child.try_wait()? {
-            None => Ok(()),
-            Some(status) => Err(ScaleError::Ended {
-                name: self.name.clone(),
-                status: status.to_string(),
-                log: self.last_log_line.lock().unwrap_or_else(PoisonError::into_inner).clone(),
-            }),
-        }
-    }
-
-    /// Its process id.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// What it has used since its start.
-    pub fn usage(&self) -> Result<Usage, ScaleError> {
-        Usage::of(self.pid())
-    }
-}
-
-/// Reads a balancer's log until its end, so that it never waits for a reader; the last line is kept.
-fn follow_log(name: &str, child: &mut Child) -> Arc<Mutex<String>> {
-    let last = Arc::new(Mutex::new(String::new()));
-    if let Some(log) = child.stderr.take() {
-        let (name, last) = (name.to_string(), last.clone());
-        thread::spawn(move || {
-            for line in BufReader::new(log).lines().map_while(Result::ok) {
-                tracing::debug!(balancer = name, line, "balancer log");
-                *last.lock().unwrap_or_else(PoisonError::into_inner) = line;
-            }
-        });
-    }
-    last
 }
 
 fn free_address() -> io::Result<SocketAddr> {
--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -2,12 +2,12 @@
 use crate::balancer::Deployment;
 use crate::error::ScaleError;
 use crate::experiment::Experiment;
+use crate::hollow;
 use crate::report::Report;
 use crate::run;
 use clap::{Parser, Subcommand};
 use std::fs;
 use std::path::{Path, PathBuf};
-use tracing_subscriber::fmt::format::FmtSpan;
 
 /// Threads for the stand-ins; the balancers have processes of their own.
 const STAND_IN_THREADS: usize = 4;
@@ -35,12 +35,21 @@
         #[arg(long, default_value = ".")]
         root: PathBuf,
     },
+    /// Runs hollow balancers; a run starts this itself.
+    #[command(hide = true)]
+    Hollow {
+        /// Their configuration.
+        configuration: PathBuf,
+        /// How many there are.
+        balancers: u32,
+    },
 }
 
 /// Carries out what the command line asks for.
 pub fn execute(arguments: Arguments) -> Result<(), ScaleError> {
     match arguments.command {
         Command::Run { experiment, out, root } => run_experiment(&experiment, out.as_deref(), &root),
+        Command::Hollow { configuration, balancers } => hollow::serve(&configuration, balancers),
     }
 }
 
@@ -74,11 +83,7 @@
 }
 
 fn log_to_standard_error() {
-    let subscriber = tracing_subscriber::fmt()
-        .json()
-        .with_span_events(FmtSpan::NONE)
-        .with_writer(std::io::stderr)
-        .finish();
+    let subscriber = tracing_subscriber::fmt().json().with_writer(std::io::stderr).finish();
     // Only a second logger in the same process is refused, and then the first one goes on.
     let _ = tracing::subscriber::set_global_default(subscriber);
 }
--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -100,8 +100,9 @@
     };
     // A balancer that asks for what follows a version has that version in force.
     let before = acknowledged.swap(since, Ordering::Relaxed);
-    if before != NONE {
-        registry.acknowledge(before, since);
+    match before {
+        NONE => registry.record_watcher(),
+        before => registry.acknowledge(before, since),
     }
     registry.changed(since, watch.wait).await;
     answer(StatusCode::OK, registry.changes(since))
--- a/scale/src/discovery/registry.rs
+++ b/scale/src/discovery/registry.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
@@ -72,6 +73,8 @@
 pub struct Registry {
     state: Mutex<State>,
     version: watch::Sender<u64>,
+    /// Connections that have begun to watch.
+    watchers: AtomicUsize,
 }
 
 struct State {
@@ -96,7 +99,11 @@
             changes: Vec::new(),
             answers: HashMap::new(),
         };
-        Registry { state: Mutex::new(state), version: watch::Sender::new(FIRST_VERSION) }
+        Registry {
+            state: Mutex::new(state),
+            version: watch::Sender::new(FIRST_VERSION),
+            watchers: AtomicUsize::new(0),
+        }
     }
 
     /// How many endpoints there are, those that left too.
@@ -146,6 +153,16 @@
         state.answer(known.then_some(since))
     }
 
+    /// Counts a connection that has begun to watch.
+    pub fn record_watcher(&self) {
+        self.watchers.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// How many connections have begun to watch, those that are gone too.
+    pub fn watchers(&self) -> usize {
+        self.watchers.load(Ordering::Relaxed)
+    }
+
     /// A balancer that had version `before` in force now has `since`.
     pub fn acknowledge(&self, before: u64, since: u64) {
         if before >= since {
--- a/scale/src/error.rs
+++ b/scale/src/error.rs
@@ -48,16 +48,19 @@
         /// What the system says.
         source: io::Error,
     },
-    /// A balancer could not be started.
-    #[error("balancer {name} did not start: {source}")]
+    /// The configuration of hollow balancers is not valid.
+    #[error("configuration: {0}")]
+    Configuration(String),
+    /// A process could not be started.
+    #[error("{name} did not start: {source}")]
     NotStarted {
         /// Its name.
         name: String,
         /// What the system says.
         source: io::Error,
     },
-    /// A balancer ended while it was needed.
-    #[error("balancer {name} ended by itself ({status}): {log}")]
+    /// A process ended while it was needed.
+    #[error("{name} ended by itself ({status}): {log}")]
     Ended {
         /// Its name.
         name: String,
@@ -66,8 +69,8 @@
         /// The last line of its log.
         log: String,
     },
-    /// A balancer did not become ready.
-    #[error("balancer {name} was not ready within {seconds} s")]
+    /// Balancers did not become ready.
+    #[error("{name} was not ready within {seconds} s")]
     NotReady {
         /// Its name.
         name: String,
--- a/scale/src/experiment.rs
+++ b/scale/src/experiment.rs
@@ -79,7 +79,14 @@
     /// Changes of an endpoint's state, evenly spread in time. A list.
     pub changes_per_minute: Vec<f64>,
     /// Balancers that are processes of the deployed program.
+    #[serde(default)]
     pub real_balancers: u32,
+    /// Balancers without sockets to clients and upstreams.
+    #[serde(default)]
+    pub hollow_balancers: u32,
+    /// Processes that the hollow balancers are spread over.
+    #[serde(default)]
+    pub hollow_processes: u32,
     /// Changes that discovery remembers; a watch from before them is answered with the whole list.
     pub history: u32,
     /// How balancers learn of endpoints.
@@ -190,6 +197,11 @@
 }
 
 impl Control {
+    /// Balancers of both sorts.
+    pub fn balancers(&self) -> u32 {
+        self.real_balancers + self.hollow_balancers
+    }
+
     /// Every combination of sizes.
     pub fn sizes(&self) -> impl Iterator<Item = ControlSize> + '_ {
         self.endpoints.iter().flat_map(move |&endpoints| {
--- /dev/null
+++ b/scale/src/process.rs
@@ -0,0 +1,71 @@
+//! Processes that a run starts; each ends with the value that stands for it.
+use crate::error::ScaleError;
+use crate::machine::Usage;
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+/// A running process; killed when dropped.
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+    last_log_line: Arc<Mutex<String>>,
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // Both fail only for a process that has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl ChildProcess {
+    /// Starts a command; its log is read and its last line kept.
+    pub fn start(name: &str, command: &mut Command) -> Result<ChildProcess, ScaleError> {
+        let not_started = |source| ScaleError::NotStarted { name: name.to_string(), source };
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(not_started)?;
+        let last_log_line = follow_log(name, &mut child);
+        tracing::info!(process = name, pid = child.id(), "process started");
+        Ok(ChildProcess { name: name.to_string(), child, last_log_line })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Fails if the process has ended.
+    pub fn ensure_running(&mut self) -> Result<(), ScaleError> {
+        match self.child.try_wait()? {
+            None => Ok(()),
+            Some(status) => Err(ScaleError::Ended {
+                name: self.name.clone(),
+                status: status.to_string(),
+                log: self.last_log_line.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+            }),
+        }
+    }
+
+    /// What it has used since its start.
+    pub fn usage(&self) -> Result<Usage, ScaleError> {
+        Usage::of(self.child.id())
+    }
+}
+
+/// Reads a process's log until its end, so that it never waits for a reader; the last line is kept.
+fn follow_log(name: &str, child: &mut Child) -> Arc<Mutex<String>> {
+    let last = Arc::new(Mutex::new(String::new()));
+    if let Some(log) = child.stderr.take() {
+        let (name, last) = (name.to_string(), last.clone());
+        thread::spawn(move || {
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                tracing::debug!(process = name, line, "log");
+                *last.lock().unwrap_or_else(PoisonError::into_inner) = line;
+            }
+        });
+    }
+    last
+}
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -164,7 +164,7 @@
     ]
 }
 
-/// What one balancer used during a measurement of control.
+/// What a balancer used during a measurement of control; the mean of a process's balancers where there are many.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct BalancerUse {
     /// Share of a core.
@@ -180,6 +180,10 @@
 pub struct ControlFigures {
     /// Each real balancer.
     pub real: Vec<BalancerUse>,
+    /// A balancer of each process of hollow ones.
+    pub hollow: Vec<BalancerUse>,
+    /// From the start of the first balancer until all watched.
+    pub all_watch_after_seconds: f64,
     /// Bytes for each balancer until all were ready.
     pub start_bytes_per_balancer: f64,
     /// Bytes a second for each balancer.
@@ -201,25 +205,48 @@
 impl ControlFigures {
     /// The figures that the table shows.
     pub fn figures(&self) -> Vec<Figure> {
-        let mean = |of: fn(&BalancerUse) -> f64| {
-            self.real.iter().map(of).sum::<f64>() / self.real.len().max(1) as f64
-        };
         let not_in_force = (self.changes - self.changes_in_force_at_all) as f64;
-        vec![
-            Figure { name: "processor_percent", value: mean(|balancer| balancer.processor_percent) },
-            Figure { name: "start_processor_ms", value: mean(|balancer| balancer.start_processor_ms) },
-            Figure { name: "resident_mb", value: mean(|balancer| balancer.resident_mb) },
+        let mut figures = Vec::new();
+        if !self.real.is_empty() {
+            figures.extend([
+                Figure { name: "processor_percent", value: mean(&self.real, |b| b.processor_percent) },
+                Figure { name: "start_processor_ms", value: mean(&self.real, |b| b.start_processor_ms) },
+                Figure { name: "resident_mb", value: mean(&self.real, |b| b.resident_mb) },
+            ]);
+        }
+        if !self.hollow.is_empty() {
+            figures.extend([
+                Figure {
+                    name: "hollow_processor_percent",
+                    value: mean(&self.hollow, |b| b.processor_percent),
+                },
+                Figure {
+                    name: "hollow_start_processor_ms",
+                    value: mean(&self.hollow, |b| b.start_processor_ms),
+                },
+                Figure { name: "hollow_resident_mb", value: mean(&self.hollow, |b| b.resident_mb) },
+            ]);
+        }
+        figures.extend([
+            Figure { name: "all_watch_after_seconds", value: self.all_watch_after_seconds },
             Figure { name: "start_bytes_per_balancer", value: self.start_bytes_per_balancer },
             Figure { name: "bytes_per_second", value: self.bytes_per_second },
             Figure { name: "messages_per_second", value: self.messages_per_second },
             Figure { name: "changes", value: self.changes as f64 },
             Figure { name: "changes_not_in_force_at_all", value: not_in_force },
+            Figure { name: "in_force_at_99_percent_p50_us", value: self.in_force_at_99_percent.p50_us },
             Figure { name: "in_force_at_99_percent_max_us", value: self.in_force_at_99_percent.max_us },
+            Figure { name: "in_force_at_all_p50_us", value: self.in_force_at_all.p50_us },
             Figure { name: "in_force_at_all_max_us", value: self.in_force_at_all.max_us },
-        ]
+        ]);
+        figures
     }
 }
 
+fn mean(balancers: &[BalancerUse], of: fn(&BalancerUse) -> f64) -> f64 {
+    balancers.iter().map(of).sum::<f64>() / balancers.len().max(1) as f64
+}
+
 impl<S> Point<S, CallsFigures> {
     /// A point of calls with its spread.
     pub fn of_calls(size: S, repeats: Vec<CallsFigures>) -> Self {
--- a/scale/src/run/calls.rs
+++ b/scale/src/run/calls.rs
@@ -31,8 +31,8 @@
     first: BalancerProcess,
     /// Those beside the instances of services.
     others: Vec<BalancerProcess>,
-    /// Instances of all services; the first service's come last.
-    instances: Vec<ServiceInstance>,
+    /// Instances of all services; kept running.
+    _instances: Vec<ServiceInstance>,
     /// By service, the first one first.
     counters: Vec<Arc<ServiceCounters>>,
     /// To the instances of the first service.
@@ -133,18 +133,17 @@
             discoveries.push(discovery);
         }
         let first = builder.started.remove(0);
-        Ok(Chain { first, others, instances, counters, straight, _discoveries: discoveries })
+        Ok(Chain { first, others, counters, straight, _instances: instances, _discoveries: discoveries })
     }
 
     fn snapshot(&self) -> Result<Snapshot, ScaleError> {
         let attempts = self.counters.iter().map(|c| c.attempts.load(Ordering::Relaxed)).collect();
-        Ok(Snapshot { first: self.first.usage()?, attempts })
+        Ok(Snapshot { first: self.first.process.usage()?, attempts })
     }
 
     fn ensure_running(&mut self) -> Result<(), ScaleError> {
-        tracing::debug!(instances = self.instances.len(), "the chain is still there");
-        self.first.ensure_running()?;
-        self.others.iter_mut().try_for_each(BalancerProcess::ensure_running)
+        self.first.process.ensure_running()?;
+        self.others.iter_mut().try_for_each(|balancer| balancer.process.ensure_running())
     }
 }
 
