Report added time by class and fit how attempts grow with depth

The report now gives added time for each on idle connections, and fits attempts against depth, with the 95% interval of the factor, carried to 25.

--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -68,7 +68,7 @@
 }
 
 fn publish(report: &Report, out: Option<&Path>) -> Result<(), ScaleError> {
-    let json = serde_json::to_string_pretty(report)?;
+    let json = serde_json::to_string(report)?;
     match out {
         None => println!("{json}"),
         Some(directory) => {
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -1,9 +1,12 @@
 //! What a run found: JSON with every repeat, and a table of each figure's spread.
+mod growth;
 mod table;
 
+use crate::client::CallKind;
 use crate::experiment::{CallsSize, ControlSize, Experiment};
 use crate::machine::Machine;
 use crate::statistics::spreads;
+pub use growth::Growth;
 use serde::Serialize;
 
 /// The results of an experiment.
@@ -19,10 +22,20 @@
     pub seconds: f64,
     /// Measurements of calls.
     pub calls: Vec<Point<CallsSize, CallsFigures>>,
+    /// How attempts grow with depth, where depths enough were measured.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub growth: Vec<Growth>,
     /// Measurements of control.
     pub control: Vec<Point<ControlSize, ControlFigures>>,
 }
 
+impl Report {
+    /// Fits what is worked out from all points together.
+    pub fn fit(&mut self) {
+        self.growth = growth::growths(&self.calls);
+    }
+}
+
 /// One combination of sizes.
 #[derive(Clone, Debug, Serialize)]
 pub struct Point<S, F> {
@@ -149,18 +162,43 @@
             figures.push(Figure { name: "attempts_at_bottom_per_call", value: *last });
         }
         if let Some(straight) = &self.straight {
-            figures.extend(added(&load.outside_service, &straight.outside_service));
+            figures.extend(added(ADDED, &load.outside_service, &straight.outside_service));
+            for (group, names) in [(READ_ON_IDLE, ADDED_TO_READS), (ORDER_ON_IDLE, ADDED_TO_ORDERS)] {
+                if let (Some(through), Some(straight)) = (load.group(group), straight.group(group)) {
+                    figures.extend(added(names, &through.outside_service, &straight.outside_service));
+                }
+            }
         }
         figures
     }
 }
 
+/// A class, and whether the clients' connection was new.
+type Group = (CallKind, bool);
+
+const READ_ON_IDLE: Group = (CallKind::Read, false);
+const ORDER_ON_IDLE: Group = (CallKind::Order, false);
+/// Names of the figures of added time: median, 99 in 100 and 999 in 1000.
+const ADDED: [&str; 3] = ["added_p50_us", "added_p99_us", "added_p999_us"];
+const ADDED_TO_READS: [&str; 3] =
+    ["added_get_idle_p50_us", "added_get_idle_p99_us", "added_get_idle_p999_us"];
+const ADDED_TO_ORDERS: [&str; 3] =
+    ["added_post_idle_p50_us", "added_post_idle_p99_us", "added_post_idle_p999_us"];
+
+impl LoadFigures {
+    fn group(&self, (kind, new_connection): Group) -> Option<&GroupTimes> {
+        let mut groups = self.groups.iter();
+        groups.find(|group| group.class == kind.class() && group.new_connection == new_connection)
+    }
+}
+
 /// What the balancer adds: each percentile through it less the same straight to the service.
-fn added(through: &Percentiles, straight: &Percentiles) -> [Figure; 3] {
+fn added(names: [&'static str; 3], through: &Percentiles, straight: &Percentiles) -> [Figure; 3] {
+    let [p50, p99, p999] = names;
     [
-        Figure { name: "added_p50_us", value: through.p50_us - straight.p50_us },
-        Figure { name: "added_p99_us", value: through.p99_us - straight.p99_us },
-        Figure { name: "added_p999_us", value: through.p999_us - straight.p999_us },
+        Figure { name: p50, value: through.p50_us - straight.p50_us },
+        Figure { name: p99, value: through.p99_us - straight.p99_us },
+        Figure { name: p999, value: through.p999_us - straight.p999_us },
     ]
 }
 
--- /dev/null
+++ b/scale/src/report/growth/tests.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+fn on_line(start: f64, per_hop: f64, hops: &[f64]) -> Vec<Sample> {
+    hops.iter().map(|&hops| Sample { hops, log_attempts: (start * per_hop.powf(hops)).ln() }).collect()
+}
+
+#[test]
+fn an_exact_law_is_found() {
+    let line = Line::fit(&on_line(1.1, 1.2, &[0.0, 1.0, 3.0, 7.0])).expect("a line");
+    assert!((line.start.exp() - 1.1).abs() < 1e-9);
+    assert!((line.slope.exp() - 1.2).abs() < 1e-9);
+    assert!(line.slope_error < 1e-9);
+}
+
+#[test]
+fn scatter_widens_the_interval() {
+    let mut samples = on_line(1.0, 1.2, &[0.0, 0.0, 1.0, 1.0, 2.0, 2.0]);
+    for (number, sample) in samples.iter_mut().enumerate() {
+        sample.log_attempts += if number % 2 == 0 { 0.1 } else { -0.1 };
+    }
+    let line = Line::fit(&samples).expect("a line");
+    assert!((line.slope.exp() - 1.2).abs() < 1e-9, "it evens out at each depth");
+    // Variance 6 * 0.1^2 / 4 over a spread of the hops of 4.
+    assert!((line.slope_error - (0.015_f64 / 4.0).sqrt()).abs() < 1e-9);
+}
+
+#[test]
+fn one_depth_has_no_slope() {
+    assert!(Line::fit(&on_line(1.0, 1.2, &[1.0, 1.0, 1.0])).is_none());
+}
--- a/scale/src/report/table.rs
+++ b/scale/src/report/table.rs
@@ -1,5 +1,5 @@
 //! The table at the end of a run: a line for each figure of each point.
-use super::{Report, Spread};
+use super::{Growth, Report, Spread};
 use crate::experiment::{CallsSize, ControlSize};
 
 const HEADINGS: [&str; 5] = ["point", "figure", "least", "median", "most"];
@@ -13,6 +13,9 @@
         for point in &self.calls {
             rows.extend(point.spread.iter().map(|spread| row(calls_label(&point.size), spread)));
         }
+        for growth in &self.growth {
+            rows.extend(growth_rows(growth));
+        }
         for point in &self.control {
             rows.extend(point.spread.iter().map(|spread| row(control_label(&point.size), spread)));
         }
@@ -24,6 +27,18 @@
     format!("{} calls/s, depth {}, {}% failing", size.calls_per_second, size.depth, size.leaf_failing_percent)
 }
 
+/// The fitted law, with the ends of its 95% interval in place of a spread over repeats.
+fn growth_rows(growth: &Growth) -> [Row; 2] {
+    let label = format!("{} calls/s, {}% failing", growth.calls_per_second, growth.leaf_failing_percent);
+    let row = |name: &'static str, [least, most]: [f64; 2], median| {
+        row(label.clone(), &Spread { name, least, median, most })
+    };
+    [
+        row("attempts_factor_per_hop_95", growth.per_hop_95, growth.per_hop),
+        row("attempts_at_depth_25_95", growth.at_depth_25_95, growth.at_depth_25),
+    ]
+}
+
 fn control_label(size: &ControlSize) -> String {
     format!("{} endpoints, {} changes/min", size.endpoints, size.changes_per_minute)
 }
@@ -33,7 +48,7 @@
 }
 
 fn number(value: f64) -> String {
-    format!("{value:.2}")
+    format!("{value:.3}")
 }
 
 /// Text to the left, numbers to the right.
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -63,6 +63,7 @@
         machine: Machine::current()?,
         seconds: 0.0,
         calls: Vec::new(),
+        growth: Vec::new(),
         control: Vec::new(),
     };
     if let Some(section) = &context.experiment.calls {
@@ -85,6 +86,7 @@
             report.control.push(Point::of_control(size, repeats));
         }
     }
+    report.fit();
     report.seconds = started.elapsed().as_secs_f64();
     Ok(report)
 }
