--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -186,8 +186,9 @@
     ["added_post_idle_p50_us", "added_post_idle_p99_us", "added_post_idle_p999_us"];
 
 impl LoadFigures {
+    /// The times of a group, if any of its calls were served.
     fn group(&self, (kind, new_connection): Group) -> Option<&GroupTimes> {
-        let mut groups = self.groups.iter();
+        let mut groups = self.groups.iter().filter(|group| group.outside_service.count > 0);
         groups.find(|group| group.class == kind.class() && group.new_connection == new_connection)
     }
 }
@@ -243,42 +244,53 @@
 impl ControlFigures {
     /// The figures that the table shows.
     pub fn figures(&self) -> Vec<Figure> {
-        let not_in_force = (self.changes - self.changes_in_force_at_all) as f64;
-        let mut figures = Vec::new();
-        if !self.real.is_empty() {
-            figures.extend([
-                Figure { name: "processor_percent", value: mean(&self.real, |b| b.processor_percent) },
-                Figure { name: "start_processor_ms", value: mean(&self.real, |b| b.start_processor_ms) },
-                Figure { name: "resident_mb", value: mean(&self.real, |b| b.resident_mb) },
-            ]);
-        }
-        if !self.hollow.is_empty() {
-            figures.extend([
-                Figure {
-                    name: "hollow_processor_percent",
-                    value: mean(&self.hollow, |b| b.processor_percent),
-                },
-                Figure {
-                    name: "hollow_start_processor_ms",
-                    value: mean(&self.hollow, |b| b.start_processor_ms),
-                },
-                Figure { name: "hollow_resident_mb", value: mean(&self.hollow, |b| b.resident_mb) },
-            ]);
+        let mut figures = use_figures(USE, &self.real);
+        figures.extend(use_figures(HOLLOW_USE, &self.hollow));
+        figures.extend(self.exchange_figures());
+        if self.changes > 0 {
+            figures.extend(self.in_force_figures());
         }
-        figures.extend([
+        figures
+    }
+
+    fn exchange_figures(&self) -> [Figure; 6] {
+        let not_in_force = (self.changes - self.changes_in_force_at_all) as f64;
+        [
             Figure { name: "all_watch_after_seconds", value: self.all_watch_after_seconds },
             Figure { name: "start_bytes_per_balancer", value: self.start_bytes_per_balancer },
             Figure { name: "bytes_per_second", value: self.bytes_per_second },
             Figure { name: "messages_per_second", value: self.messages_per_second },
             Figure { name: "changes", value: self.changes as f64 },
             Figure { name: "changes_not_in_force_at_all", value: not_in_force },
-            Figure { name: "in_force_at_99_percent_p50_us", value: self.in_force_at_99_percent.p50_us },
-            Figure { name: "in_force_at_99_percent_max_us", value: self.in_force_at_99_percent.max_us },
-            Figure { name: "in_force_at_all_p50_us", value: self.in_force_at_all.p50_us },
-            Figure { name: "in_force_at_all_max_us", value: self.in_force_at_all.max_us },
-        ]);
-        figures
+        ]
     }
+
+    fn in_force_figures(&self) -> [Figure; 4] {
+        let (widely, all) = (&self.in_force_at_99_percent, &self.in_force_at_all);
+        [
+            Figure { name: "in_force_at_99_percent_p50_us", value: widely.p50_us },
+            Figure { name: "in_force_at_99_percent_max_us", value: widely.max_us },
+            Figure { name: "in_force_at_all_p50_us", value: all.p50_us },
+            Figure { name: "in_force_at_all_max_us", value: all.max_us },
+        ]
+    }
+}
+
+/// Names of the figures of [`BalancerUse`], for real and for hollow balancers.
+const USE: [&str; 3] = ["processor_percent", "start_processor_ms", "resident_mb"];
+const HOLLOW_USE: [&str; 3] = ["hollow_processor_percent", "hollow_start_processor_ms", "hollow_resident_mb"];
+
+/// The means over these balancers; none where there are none.
+fn use_figures(names: [&'static str; 3], balancers: &[BalancerUse]) -> Vec<Figure> {
+    if balancers.is_empty() {
+        return Vec::new();
+    }
+    let [processor, start, resident] = names;
+    vec![
+        Figure { name: processor, value: mean(balancers, |b| b.processor_percent) },
+        Figure { name: start, value: mean(balancers, |b| b.start_processor_ms) },
+        Figure { name: resident, value: mean(balancers, |b| b.resident_mb) },
+    ]
 }
 
 fn mean(balancers: &[BalancerUse], of: fn(&BalancerUse) -> f64) -> f64 {
