--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -1,15 +1,11 @@
 //! What the driver tells the decision module of an attempt, with real connections.
 use super::*;
-use crate::body::Payload;
 use crate::connector::Connector;
 use crate::endpoints::Endpoint;
 use crate::sockets::Sockets;
-use crate::test_support::FullListener;
+use crate::test_support::{get_request, FullListener};
 use crate::upstream::Transport;
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, Uri};
 use oakflow::{Member, Settings};
-use std::cell::Cell;
 use std::net::SocketAddr;
 
 const LONG: Duration = Duration::from_secs(20);
@@ -33,17 +29,6 @@
     handle
 }
 
-fn request() -> Outgoing {
-    Outgoing {
-        name: None,
-        method: Method::GET,
-        target: Uri::from_static("/api"),
-        headers: HeaderMap::new(),
-        body: Payload::Whole(Bytes::new()),
-        over: Cell::new(false),
-    }
-}
-
 /// Guards against taking the time to connect for the upstream's answer time: a network that is slow to connect would
 /// look like overloaded upstreams, and requests would be refused that they have room for.
 #[tokio::test(flavor = "current_thread")]
@@ -52,7 +37,7 @@
         let mut listener = FullListener::bind();
         let handle = driver_with(listener.address());
         let start = Instant::now();
-        let _waiting = handle.take(0, 0, 20_000.0, request()).expect("is taken");
+        let _waiting = handle.take(0, 0, 20_000.0, get_request()).expect("is taken");
         tokio::time::sleep(Duration::from_millis(100)).await;
         listener.admit();
         let connection = tokio::task::spawn_blocking(move || listener.accept()).await.expect("connects");
--- a/node/src/test_support.rs
+++ b/node/src/test_support.rs
@@ -1,7 +1,24 @@
 //! What several test files of this crate share.
+use crate::body::Payload;
+use crate::message::Outgoing;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+/// A request without a body, as it goes on to upstreams.
+pub fn get_request() -> Outgoing {
+    Outgoing {
+        name: None,
+        method: Method::GET,
+        target: Uri::from_static("/api"),
+        headers: HeaderMap::new(),
+        body: Payload::Whole(Bytes::new()),
+        over: Cell::new(false),
+    }
+}
+
 /// A listener whose accept queue is full: the system drops what tries to connect, and the one that connects tries again
 /// after a second. So connections come up late, as over a network that loses packets.
 pub struct FullListener {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -2,8 +2,8 @@
 use super::*;
 use crate::connection_pool::Connection;
 use crate::sockets::Sockets;
-use hyper::{Method, Uri};
-use std::cell::Cell;
+use crate::test_support::get_request;
+use hyper::Method;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use tokio::task::LocalSet;
@@ -87,7 +87,7 @@
                 let _ = peer.write_all(text.as_bytes());
             });
             let out =
-                Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..outgoing() };
+                Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..get_request() };
             let until = Instant::now() + Duration::from_secs(50);
             let (ending, _) =
                 transport(Sockets::new(64)).attempt(to, Rc::new(out), until, || (), |_| ()).await;
@@ -119,7 +119,7 @@
         let transport = Transport { trial: Duration::from_secs(60), ..transport(Sockets::new(64)) };
         for _ in 0..2 {
             let out =
-                Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..outgoing() };
+                Outgoing { method: Method::POST, body: Payload::Whole(Bytes::from("body")), ..get_request() };
             let until = Instant::now() + Duration::from_secs(50);
             let (ending, answer) = transport.attempt(to.clone(), Rc::new(out), until, || (), |_| ()).await;
             assert_eq!(ending, Ending::Ok);
@@ -139,17 +139,6 @@
     all
 }
 
-fn outgoing() -> Outgoing {
-    Outgoing {
-        name: None,
-        method: Method::GET,
-        target: Uri::from_static("/api"),
-        headers: HeaderMap::new(),
-        body: Payload::Whole(Bytes::new()),
-        over: Cell::new(false),
-    }
-}
-
 /// Guards against blaming an upstream for our own want of descriptors: nothing was tried.
 #[test]
 fn a_shortage_of_our_own_is_no_failure_of_the_upstream() {
@@ -157,7 +146,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
         let sockets = Sockets::new(64);
         let all: Vec<_> = std::iter::from_fn(|| sockets.upstream()).collect();
-        let out = outgoing();
+        let out = get_request();
         let to = Upstream::new(listener.local_addr().expect("an address"));
         let until = Instant::now() + Duration::from_secs(5);
         let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until, || (), |_| ()).await;
