Repeat no guarded request so late that connecting could outlast its window

Change: the settings' dial timeout is told to the module (Settings::connect_timeout), and src/policy/requests.rs takes it off the window.

Test: a_guarded_request_is_not_repeated_where_connecting_could_outlast_its_window; without the change the repeat at 620 ms of 700 is sent.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -170,6 +170,7 @@
         ask_for_list,
         ask_within: s.invariants.ask_within,
         idle_close: s.permissions.idle_close,
+        connect_timeout: s.permissions.dial_timeout,
         max_retry_after: if s.permissions.retry_after { s.permissions.max_retry_after } else { 0.0 },
         cold_from: s.invariants.cold_from,
         ramp_time: s.invariants.ramp_time,
@@ -178,7 +179,6 @@
         late_shedding: s.invariants.late_shedding,
         cross_zone_price: s.charges.cross_zone,
     };
-    settings.validate().map_err(|e| e.to_string())?;
     for (key, span) in [
         ("permissions.dial_timeout", s.permissions.dial_timeout),
         ("invariants.drain_grace", s.invariants.drain_grace),
@@ -187,6 +187,7 @@
             return Err(format!("{key}: must be a time of at least 0"));
         }
     }
+    settings.validate().map_err(|e| e.to_string())?;
     Ok(Deployment {
         policy: settings,
         classes: s.classes.into_iter().map(|c| c.name).collect(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,6 +91,8 @@
     pub ask_within: Millis,
     /// Idle connections close after this time.
     pub idle_close: Millis,
+    /// An attempt may wait this long for a connection before it is sent.
+    pub connect_timeout: Millis,
     /// Longest advice to stay away that clients heed; zero: no advice is passed on.
     pub max_retry_after: Millis,
     /// A cold upstream starts at this fraction of its capacity or higher.
@@ -127,6 +129,7 @@
             ask_for_list: false,
             ask_within: 10_000.0,
             idle_close: 5000.0,
+            connect_timeout: 0.0,
             max_retry_after: 0.0,
             cold_from: 0.1,
             ramp_time: 30_000.0,
@@ -181,6 +184,7 @@
         }
         need(span(self.ask_within) && self.ask_within > 0.0, "ask_within", "a time above 0")?;
         need(span(self.idle_close), "idle_close", "a time of at least 0")?;
+        need(span(self.connect_timeout), "connect_timeout", "a time of at least 0")?;
         need(span(self.max_retry_after), "max_retry_after", "a time of at least 0")?;
         need(span(self.cold_from) && self.cold_from <= 1.0, "cold_from", "between 0 and 1")?;
         need(span(self.ramp_time), "ramp_time", "a time of at least 0")?;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -99,7 +99,12 @@
         let repeat = match (first_run, self.settings.classes[class].effect) {
             (None, _) | (_, Effect::Free) => None,
             (Some(_), Effect::SingleShot) => return None,
-            (Some(run), Effect::Guarded { window, .. }) if now >= run.sent + window => return None,
+            // It may wait for a connection first, and must not arrive when its repeats are no longer discarded.
+            (Some(run), Effect::Guarded { window, .. })
+                if now + self.settings.connect_timeout >= run.sent + window =>
+            {
+                return None
+            }
             (Some(run), Effect::Guarded { scope, .. }) => Some((scope, run)),
         };
         let endpoints = &mut self.endpoints;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -148,6 +148,21 @@
     }
 }
 
+/// Guards against repeats that wait for a connection and arrive when upstreams no longer discard them.
+#[test]
+fn a_guarded_request_is_not_repeated_where_connecting_could_outlast_its_window() {
+    let guarded = Effect::Guarded { scope: DedupScope::All, window: 700.0 };
+    for (after, repeated) in [(550.0, true), (620.0, false)] {
+        let settings = Settings { connect_timeout: 100.0, ..one_class(guarded) };
+        let mut world = World::new(settings, 1, (1..5).map(member).collect());
+        world.request(1, 0, 0);
+        world.pass(after);
+        let actions = world.outcome(1, 0, Ending::Reset);
+        let sent = actions.iter().any(|action| matches!(action, Action::Send { .. }));
+        assert_eq!(sent, repeated, "{after} ms after the first attempt");
+    }
+}
+
 #[test]
 fn a_class_goes_only_where_it_is_placed_and_is_refused_when_nothing_there_is_ready() {
     let placed = Class { runs_in: Some(vec![1]), kinds_only: Some(vec![2]), ..class(Effect::Free) };
