--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -99,7 +99,7 @@
         let repeat = match (first_run, self.settings.classes[class].effect) {
             (None, _) | (_, Effect::Free) => None,
             (Some(_), Effect::SingleShot) => return None,
-            // It may wait for a connection first, and must not arrive when its repeats are no longer discarded.
+            // It may wait for a connection first, and must arrive while repeats are still discarded.
             (Some(run), Effect::Guarded { window, .. })
                 if now + self.settings.connect_timeout >= run.sent + window =>
             {
