Guard attempts, writes, answers and closes in one place, and count broken rules

Cause: each rule was kept where its code happened to be, and a broken one showed only at the far side. Nothing told why a connection was closed or a write left out.

Change: invariants::Guard is asked before an attempt starts (five at most, one at a time, no unsafe repeat), at the first byte that is written for it (upstream, time, request and client, asked of the system), before an answer (overdue, refused after a run) and after a connection (closed unanswered). Violations, denied writes and closed connections are among the metrics; NODE_LOG=debug writes one JSON event for each step of a request.

--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -5,6 +5,7 @@
 use crate::dispatch::Dispatch;
 use crate::driver::{Handle, Parts};
 use crate::endpoints::EndpointUpdate;
+use crate::invariants::Guard;
 use crate::log::Log;
 use oakflow::Balancer;
 use oakflow_settings::Deployment;
@@ -22,6 +23,8 @@
     pub clock: Clock,
     /// How attempts are carried out.
     pub dispatch: Dispatch,
+    /// Checks what the decision module wants done.
+    pub guard: Guard,
     /// The cached snapshot of the endpoints, if there is one.
     pub known: Option<&'a EndpointUpdate>,
     /// The newest value is where discovery is.
@@ -43,17 +46,22 @@
 impl Control {
     /// Sets the control part up and starts its timers. Must be called within a `LocalSet`.
     pub fn start(options: ControlOptions) -> Result<Control, String> {
-        let ControlOptions { deployment, seed, clock, dispatch, known, discovery, log } = options;
+        let ControlOptions { deployment, seed, clock, dispatch, guard, known, discovery, log } = options;
         let mut settings = deployment.policy.clone();
         // The settings' own interval is that of the simulator; on sockets what discovery has counts as acknowledged
         // sooner.
         settings.ask_within = settings.ask_within.min(ACKNOWLEDGE_INTERVAL.as_secs_f64() * 1000.0);
+        let effects = settings.classes.iter().map(|class| class.effect).collect();
+        let late_shedding = settings.late_shedding;
         let handle = Handle::new(Parts {
             balancer: Balancer::new(settings, seed, clock.now()).map_err(|e| e.to_string())?,
             clock,
             dispatch,
             drain_grace: from_millis(deployment.drain_grace),
             max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
+            effects,
+            late_shedding,
+            guard,
             log,
         });
         let driver = handle.clone();
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// What discovery has counts as told after this long, once it could be reached: whatever came before, a silent call, a
 /// spoilt answer or a pause, the next whole call has to be over by then.
@@ -234,7 +234,22 @@
     /// known: discovery may have begun anew, but an answer may also be stale. The next call asks for the whole list,
     /// which holds whatever its version.
     async fn call(&mut self, patience: Duration) -> Result<EndpointUpdate, String> {
-        let update = timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
+        let began = Instant::now();
+        let fetched = timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string());
+        let fetched = fetched.and_then(|fetched| fetched);
+        let took_ms = began.elapsed().as_millis() as u64;
+        match &fetched {
+            Ok(update) => tracing::debug!(
+                since = self.version,
+                version = update.version,
+                full = update.full,
+                endpoints = update.endpoints.len(),
+                took_ms,
+                "discovery answered"
+            ),
+            Err(error) => tracing::debug!(since = self.version, error, took_ms, "discovery call failed"),
+        }
+        let update = fetched?;
         if self.version.map_or(!update.full, |v| update.version < v) {
             // Guards against asking for ever for what follows a version that discovery no longer knows.
             let known = self.version.take().unwrap_or(0);
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,10 +5,11 @@
 use crate::dispatch::Dispatch;
 use crate::endpoint_table::EndpointTable;
 use crate::endpoints::{upstream_id, EndpointConsumer, EndpointUpdate};
+use crate::invariants::{never_ran, AttemptHistory, Guard};
 use crate::log::Log;
 use crate::message::{Answer, Outgoing, Untaken};
 use hyper::header::HeaderValue;
-use oakflow::{Action, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId};
+use oakflow::{Action, Balancer, Effect, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -31,13 +32,24 @@
     /// How long its client waits once all of it has come, and until when that is; infinite while it comes.
     patience: Millis,
     deadline: Millis,
-    sends: u32,
-    running: u32,
+    history: AttemptHistory,
     /// Whether its answer is being passed on.
     answering: bool,
 }
 
 impl Open {
+    /// The answer that may be given now in place of this one.
+    fn checked(&self, answer: Answer, now: Millis, guard: &Guard) -> Answer {
+        if self.reply.is_none() {
+            return answer;
+        }
+        guard.answer(now - self.deadline, &self.out.label());
+        match answer {
+            Answer::Refused { .. } if !guard.refuse(&self.history, &self.out.label()) => Answer::Failed,
+            answer => answer,
+        }
+    }
+
     /// The way to the client, once; the request is over with it.
     fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
         self.out.over.set(true);
@@ -47,6 +59,7 @@
 
 struct Attempt {
     upstream: UpstreamId,
+    started: Instant,
     /// When all of it had come to be sent and there was a connection to send it on.
     sent: Option<Instant>,
     /// How long after that its answer began, once it is passed on.
@@ -96,6 +109,10 @@
     dispatch: Dispatch,
     log: Log,
     max_open: usize,
+    /// The effects of the classes, by position; and whether upstreams also shed work that they had begun.
+    effects: Vec<Effect>,
+    late_shedding: bool,
+    guard: Guard,
     /// Every request has its answer by then.
     last: Millis,
     next_id: u32,
@@ -132,6 +149,12 @@
     pub drain_grace: Duration,
     /// Most requests open at once.
     pub max_open: usize,
+    /// The effects of the classes, by position.
+    pub effects: Vec<Effect>,
+    /// Upstreams also shed work that they had begun.
+    pub late_shedding: bool,
+    /// Checks what the module wants done.
+    pub guard: Guard,
     /// Where the module's log lines go.
     pub log: Log,
 }
@@ -164,13 +187,17 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, clock, dispatch, drain_grace, max_open, log } = parts;
+        let Parts { balancer, clock, dispatch, drain_grace, max_open, effects, late_shedding, guard, log } =
+            parts;
         let driver = Driver {
             balancer,
             clock,
             dispatch,
             log,
             max_open,
+            effects,
+            late_shedding,
+            guard,
             last: f64::INFINITY,
             next_id: 0,
             open: HashMap::new(),
@@ -334,6 +361,7 @@
             }
             let id = RequestId(d.next_id);
             d.next_id = d.next_id.wrapping_add(1);
+            let effect = d.effects.get(class).copied().unwrap_or(Effect::SingleShot);
             let patience = (patience - ANSWER_MARGIN).max(0.0);
             let deadline = match &out.body {
                 Payload::Whole(_) => (d.now() + patience).min(d.last),
@@ -347,11 +375,11 @@
                 out: Rc::new(out),
                 patience,
                 deadline,
-                sends: 0,
-                running: 0,
+                history: AttemptHistory::new(effect),
                 answering: false,
             };
             d.open.insert(id, open);
+            tracing::debug!(request = id.0, class, tenant, patience_ms = patience, "request taken");
             (id, deadline)
         };
         self.feed(Event::Request(Request { id, class, tenant, deadline }));
@@ -365,7 +393,7 @@
             let (now, last) = (d.now(), d.last);
             let Some(open) = d.open.get_mut(&id) else { return };
             open.deadline = (now + open.patience).min(last);
-            let (deadline, number) = (open.deadline, open.sends.wrapping_sub(1));
+            let (deadline, number) = (open.deadline, open.history.started().wrapping_sub(1));
             let until = Instant::now() + from_millis(deadline - now);
             let due = d.set_timer(until, Due::Attempt(id, number));
             match d.attempts.get_mut(&(id, number)) {
@@ -412,6 +440,7 @@
             if d.open.get_mut(&id).and_then(Open::end).is_none() {
                 return;
             }
+            tracing::debug!(request = id.0, "client left");
             d.forget(id);
         }
         self.feed(Event::ClientGone(id));
@@ -467,12 +496,17 @@
     fn send(&self, d: &mut Driver, id: RequestId, to: UpstreamId, timeout: Millis) {
         let (now, now_ms) = (Instant::now(), d.now());
         let Some(open) = d.open.get_mut(&id) else { return };
-        let number = open.sends;
-        open.sends += 1;
+        let number = open.history.started();
+        if d.guard.start(&mut open.history, &open.out.label()).is_err() {
+            // What the module knows of this request is wrong: it ends here, whatever is decided next.
+            d.events.push_back(Event::ClientGone(id));
+            return d.answer(id, Answer::Failed);
+        }
         let target = d.endpoints.upstream(to).cloned();
         let (Some(target), true) = (target, open.reply.is_some()) else {
             let closed = open.reply.is_none();
             let ending = Ending::Moot;
+            open.history.end(now, true);
             d.events.push_back(Event::Outcome {
                 request: id,
                 attempt: number,
@@ -486,8 +520,15 @@
         let left = if whole { (open.deadline - now_ms).max(0.0) } else { open.patience };
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let until = now + from_millis(wait);
-        open.running += 1;
         let out = open.out.clone();
+        tracing::debug!(
+            request = id.0,
+            id = %out.label(),
+            attempt = number,
+            upstream = %target.addr.get(),
+            wait_ms = wait,
+            "attempt started"
+        );
         let (dispatch, handle) = (d.dispatch.clone(), self.clone());
         if target.oldest_idle().is_none() && dispatch.sockets_exhausted() {
             d.endpoints.close_oldest_idle();
@@ -500,7 +541,7 @@
         });
         let due = whole.then(|| d.set_timer(until, Due::Attempt(id, number)));
         let (sent, task) = (whole.then_some(now), task.abort_handle());
-        let attempt = Attempt { upstream: to, sent, began: None, task, due };
+        let attempt = Attempt { upstream: to, started: now, sent, began: None, task, due };
         d.attempts.insert((id, number), attempt);
         self.0.timers.notify_one();
     }
@@ -513,6 +554,7 @@
 
     fn apply(&self, update: &EndpointUpdate) {
         self.0.driver.borrow_mut().apply_endpoints(update, update.full);
+        tracing::debug!(version = update.version, full = update.full, "endpoints updated");
         let members = update.members().collect();
         let membership = if update.full { Membership::Full(members) } else { Membership::Delta(members) };
         self.feed(Event::Membership(membership));
@@ -545,9 +587,10 @@
         }
         self.forget_upstream(attempt.upstream);
         let duration = to_millis(attempt.took());
+        tracing::debug!(request = id.0, attempt = number, ?ending, duration_ms = duration, "attempt ended");
         let mut closed = true;
         if let Some(open) = self.open.get_mut(&id) {
-            open.running -= 1;
+            open.history.end(attempt.started, never_ran(ending, self.late_shedding));
             if let Some((reply, answer)) = answer.and_then(|a| Some((open.end()?, a))) {
                 // A client that left in the same instant gets nothing; it is no longer owed anything.
                 let _ = reply.send(answer);
@@ -559,6 +602,10 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
+        let now = self.now();
+        tracing::debug!(request = id.0, ?answer, "request answered");
+        let checked = self.open.get(&id).map(|open| open.checked(answer, now, &self.guard));
+        let Some(answer) = checked else { return };
         if let Some(reply) = self.open.get_mut(&id).and_then(Open::end) {
             // A client that left in the same instant gets nothing; it is no longer owed anything.
             let _ = reply.send(answer);
@@ -568,7 +615,7 @@
 
     /// Forgets a request that is answered and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.running == 0) {
+        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.history.in_flight() == 0) {
             if let Some(name) = self.open.remove(&id).and_then(|o| o.out.name.clone()) {
                 self.names.remove(&name);
             }
--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -2,6 +2,7 @@
 use super::*;
 use crate::connector::Connector;
 use crate::endpoints::Endpoint;
+use crate::metrics::Figures;
 use crate::sockets::Sockets;
 use crate::test_support::{get_request, FullListener};
 use crate::upstream::Transport;
@@ -15,12 +16,16 @@
     let settings = Settings { classes: vec![class], ..Settings::default() };
     let clock = Clock::start();
     let connector = Connector::new(LONG, LONG, Sockets::new(64), Rc::default());
+    let guard = Guard::new(Figures::new(&[]));
     let handle = Handle::new(Parts {
         balancer: Balancer::new(settings, 1, clock.now()).expect("valid settings"),
         clock,
-        dispatch: Dispatch::Sockets(Transport::new(connector)),
+        dispatch: Dispatch::Sockets(Transport::new(connector, guard.clone())),
         drain_grace: LONG,
         max_open: 10,
+        effects: vec![Effect::Free],
+        late_shedding: false,
+        guard,
         log: Log::Discard,
     });
     let member = Member { id: UpstreamId(1), ..Member::default() };
--- a/node/src/hollow.rs
+++ b/node/src/hollow.rs
@@ -7,8 +7,10 @@
 use crate::dispatch::Dispatch;
 use crate::driver::Handle;
 use crate::endpoints::{EndpointConsumer, EndpointUpdate};
+use crate::invariants::Guard;
 use crate::log::Log;
 use crate::message::{Answer, Outgoing, Untaken};
+use crate::metrics::Figures;
 use hyper::{HeaderMap, Method, Uri};
 use oakflow_settings::Deployment;
 use std::cell::Cell;
@@ -90,6 +92,7 @@
             seed: options.seed,
             clock: Clock::start(),
             dispatch: Dispatch::Hollow,
+            guard: Guard::new(Figures::new(&options.deployment.classes)),
             known: options.known,
             discovery: addresses,
             log: options.log,
@@ -167,5 +170,6 @@
         headers: HeaderMap::new(),
         body: crate::body::Payload::Whole(bytes::Bytes::new()),
         over: Cell::new(false),
+        client: None,
     }
 }
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -1,11 +1,13 @@
 //! A socket that stays in sight while hyper reads and writes it, and what callers' bytes tell before hyper has
 //! them: hyper drops `Content-Length` beside `Transfer-Encoding`, and does not tell of half a head.
 use std::cell::{Cell, RefCell, RefMut};
+use std::error::Error;
+use std::fmt;
 use std::future::{poll_fn, Future};
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -39,13 +41,55 @@
     whole: Rc<Cell<u64>>,
     /// Whether the runtime has been made to forget that there are bytes to read: the reader asks the system first.
     forgotten: Rc<Cell<bool>>,
+    /// Asked before the first byte of a message is written.
+    permit: Rc<RefCell<Option<WritePermit>>>,
+}
+
+/// Whether the next message may be written; asked once, at its first byte.
+pub type WritePermit = Box<dyn FnOnce() -> bool>;
+
+/// The error of a write that was not permitted.
+#[derive(Debug)]
+struct WriteDenied;
+
+impl fmt::Display for WriteDenied {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the write was denied")
+    }
+}
+
+impl Error for WriteDenied {}
+
+/// The other side of a shared stream, for as long as the stream is open here.
+pub struct Peer(Weak<RefCell<TcpStream>>);
+
+impl Peer {
+    /// Whether it has left, or the connection is closed here.
+    pub fn left(&self) -> bool {
+        self.0.upgrade().is_none_or(|stream| peer_left(&stream.borrow()))
+    }
+}
+
+/// Whether the peer has closed, reset or half-closed the connection, also behind bytes that nobody has read.
+fn peer_left(stream: &TcpStream) -> bool {
+    match peek(stream) {
+        Ok(0) => true,
+        // The runtime is told of the end, whatever lies before it.
+        Ok(_) => {
+            let ready = pin!(stream.ready(Interest::READABLE));
+            let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+            matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        }
+        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
 }
 
 impl Shared {
     /// Shares a stream, which counts the messages in `whole` that are written whole.
     pub fn new(stream: TcpStream, whole: Rc<Cell<u64>>) -> Shared {
         let written = Rc::new(Cell::new(Written::Partly));
-        Shared { stream: Rc::new(RefCell::new(stream)), written, whole, forgotten: Rc::default() }
+        let (forgotten, permit) = (Rc::default(), Rc::default());
+        Shared { stream: Rc::new(RefCell::new(stream)), written, whole, forgotten, permit }
     }
 
     /// How far the newest message has been written; whoever hands it over keeps this up to then.
@@ -61,17 +105,25 @@
 
     /// Whether the peer has closed, reset or half-closed the connection, also behind bytes that nobody has read.
     pub fn left(&self) -> bool {
-        let stream = self.stream.borrow();
-        match peek(&stream) {
-            Ok(0) => true,
-            // The runtime is told of the end, whatever lies before it.
-            Ok(_) => {
-                let ready = pin!(stream.ready(Interest::READABLE));
-                let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
-                matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
-            }
-            Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        peer_left(&self.stream.borrow())
+    }
+
+    /// The other side, to be asked about without keeping the connection open.
+    pub fn peer(&self) -> Peer {
+        Peer(Rc::downgrade(&self.stream))
+    }
+
+    /// Has the next message written only if `permit` says so at its first byte.
+    pub fn set_permit(&self, permit: WritePermit) {
+        *self.permit.borrow_mut() = Some(permit);
+    }
+
+    fn ensure_permitted(&self) -> io::Result<()> {
+        let permit = self.permit.borrow_mut().take();
+        if permit.is_none_or(|permit| permit()) {
+            return Ok(());
         }
+        Err(io::Error::other(WriteDenied))
     }
 
     /// Returns once the peer has left.
@@ -109,6 +161,7 @@
 
 impl AsyncWrite for Shared {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.ensure_permitted()?;
         Pin::new(&mut *self.stream()).poll_write(cx, buf)
     }
 
@@ -131,6 +184,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.ensure_permitted()?;
         Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
     }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod driver;
 mod endpoint_table;
 mod inbound;
+mod invariants;
 mod message;
 mod metrics;
 mod ops;
--- a/node/src/message.rs
+++ b/node/src/message.rs
@@ -1,8 +1,10 @@
 //! What the parts of a balancer hand one another about a request: the request as it goes to upstreams, and its answer.
 use crate::body::{Content, Fault, Payload};
+use crate::inbound::Peer;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use oakflow::Millis;
+use std::borrow::Cow;
 use std::cell::Cell;
 
 /// A request as it goes on to upstreams.
@@ -19,6 +21,20 @@
     pub body: Payload,
     /// Set when the request has ended: what has not been written for it by then must not be.
     pub over: Cell<bool>,
+    /// The client's side of its connection, where there is one.
+    pub client: Option<Peer>,
+}
+
+impl Outgoing {
+    /// The client's id for it, for logs.
+    pub fn label(&self) -> Cow<'_, str> {
+        self.name.as_ref().map_or("-".into(), |name| String::from_utf8_lossy(name.as_bytes()))
+    }
+
+    /// Whether its client has left. Asks the system: the runtime learns of it only when it next waits.
+    pub fn client_left(&self) -> bool {
+        self.client.as_ref().is_some_and(Peer::left)
+    }
 }
 
 /// The one final answer to a request.
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,4 +1,5 @@
 //! The figures that operators fetch: counted once, where an event is final, from the start of the process.
+use crate::invariants::GuardCounts;
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -14,6 +15,35 @@
     Errors,
 }
 
+/// Why a client's connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed it, an answer said that it ends, or it broke.
+    Finished,
+    /// Its client was waited for long enough.
+    Overdue,
+    /// It was idle, and a new connection needed its place.
+    MakesWay,
+    /// The program ends, or clients are sent away.
+    Shutdown,
+}
+
+impl CloseReason {
+    /// All reasons, in the order of their counts.
+    pub const ALL: [CloseReason; 4] =
+        [CloseReason::Finished, CloseReason::Overdue, CloseReason::MakesWay, CloseReason::Shutdown];
+
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::Finished => "finished",
+            CloseReason::Overdue => "overdue",
+            CloseReason::MakesWay => "makes_way",
+            CloseReason::Shutdown => "shutdown",
+        }
+    }
+}
+
 /// Counts of one class, by [`Outcome`].
 struct Class {
     /// Its name as a label's value.
@@ -28,6 +58,10 @@
     tries: Rc<Cell<u64>>,
     /// Configurations read again and followed, and those that could not be read.
     reloads: [Cell<u64>; 2],
+    /// Rules that were broken, and writes that were denied.
+    guard: GuardCounts,
+    /// Clients' connections that were closed, by reason.
+    closed: [Cell<u64>; CloseReason::ALL.len()],
 }
 
 /// The names of the outcomes, in the order of [`Outcome`].
@@ -38,7 +72,8 @@
     pub fn new(classes: &[String]) -> Rc<Figures> {
         let class = |name: &String| Class { label: escaped(name), ended: Default::default() };
         let classes = classes.iter().map(class).collect();
-        Rc::new(Figures { classes, tries: Rc::default(), reloads: Default::default() })
+        let (tries, reloads, guard, closed) = Default::default();
+        Rc::new(Figures { classes, tries, reloads, guard, closed })
     }
 
     /// The count of attempts written whole, for those who write them.
@@ -46,6 +81,16 @@
         self.tries.clone()
     }
 
+    /// The counts of the guard.
+    pub fn guard(&self) -> &GuardCounts {
+        &self.guard
+    }
+
+    /// Counts a client's connection as closed.
+    pub fn closed(&self, reason: CloseReason) {
+        bump(&self.closed[reason as usize]);
+    }
+
     /// Counts a request as ended that was never taken.
     pub fn ended(&self, class: usize, outcome: Outcome) {
         if let Some(class) = self.classes.get(class) {
@@ -76,6 +121,15 @@
         line("pool_ejected", avoided as u64);
         line("config_applied", self.reloads[0].get());
         line("config_rejected", self.reloads[1].get());
+        for (rule, count) in self.guard.violations() {
+            line(&format!("violations{{rule=\"{}\"}}", rule.name()), count);
+        }
+        for (reason, count) in self.guard.denials() {
+            line(&format!("writes_denied{{reason=\"{}\"}}", reason.name()), count);
+        }
+        for (reason, count) in CloseReason::ALL.iter().zip(&self.closed) {
+            line(&format!("connections_closed{{reason=\"{}\"}}", reason.name()), count.get());
+        }
         text
     }
 }
@@ -131,6 +185,7 @@
         figures.ended(1, Outcome::Shed);
         figures.tries().set(7);
         figures.reloaded(false);
+        figures.closed(CloseReason::Overdue);
         let wanted = [
             "node_ok{kind=\"read\"} 0",
             "node_ok{kind=\"odd \\\"\\\\\\n\"} 0",
@@ -144,6 +199,20 @@
             "node_pool_ejected 1",
             "node_config_applied 0",
             "node_config_rejected 1",
+            "node_violations{rule=\"attempt_limit\"} 0",
+            "node_violations{rule=\"concurrent_attempt\"} 0",
+            "node_violations{rule=\"unsafe_repeat\"} 0",
+            "node_violations{rule=\"refused_after_run\"} 0",
+            "node_violations{rule=\"answer_overdue\"} 0",
+            "node_violations{rule=\"closed_unanswered\"} 0",
+            "node_writes_denied{reason=\"endpoint_closed\"} 0",
+            "node_writes_denied{reason=\"expired\"} 0",
+            "node_writes_denied{reason=\"request_ended\"} 0",
+            "node_writes_denied{reason=\"client_left\"} 0",
+            "node_connections_closed{reason=\"finished\"} 0",
+            "node_connections_closed{reason=\"overdue\"} 1",
+            "node_connections_closed{reason=\"makes_way\"} 0",
+            "node_connections_closed{reason=\"shutdown\"} 0",
         ];
         assert_eq!(figures.text(2, (4, 1)).lines().collect::<Vec<_>>(), wanted);
     }
--- a/node/src/program.rs
+++ b/node/src/program.rs
@@ -5,7 +5,8 @@
 use crate::control::{Control, ControlOptions};
 use crate::dispatch::Dispatch;
 use crate::driver::Handle;
-use crate::log::Log;
+use crate::invariants::Guard;
+use crate::log::{start_events, Log};
 use crate::metrics::Figures;
 use crate::ops::{self, Door};
 use crate::orders::Store;
@@ -137,13 +138,14 @@
 }
 
 /// The sockets' side of attempts.
-fn transport(deployment: &Deployment, budget: &Sockets, figures: &Figures) -> Transport {
-    Transport::new(Connector::new(
+fn transport(deployment: &Deployment, budget: &Sockets, figures: &Figures, guard: &Guard) -> Transport {
+    let connector = Connector::new(
         from_millis(deployment.dial_timeout),
         from_millis(deployment.policy.idle_close.min(LONGEST_SETTING)),
         budget.clone(),
         figures.tries(),
-    ))
+    );
+    Transport::new(connector, guard.clone())
 }
 
 /// Opens the operators' door, if there is one.
@@ -167,7 +169,9 @@
     // Before anything else: a signal that is not caught ends the program.
     let Signals { hangup, mut terminate, mut interrupt } = Signals::catch()?;
     let clock = Clock::start();
-    let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = load()?;
+    let config = load()?;
+    start_events(&config.name);
+    let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = config;
     let known = known.unwrap_or_else(|e| {
         eprintln!("{name}: known: {}: passed over", e.replace('\n', " "));
         None
@@ -176,12 +180,14 @@
     let ending = Ending::of(from_millis(longest.min(LONGEST_SETTING)));
     let figures = Figures::new(&deployment.classes);
     let budget = Sockets::new(sockets.saturating_sub(if ops.is_some() { ops::DESCRIPTORS } else { 0 }));
+    let guard = Guard::new(figures.clone());
     let (address_of_discovery, addresses) = watch::channel(discovery);
     let Control { handle, timers, discovery } = Control::start(ControlOptions {
         deployment: &deployment,
         seed,
         clock,
-        dispatch: Dispatch::Sockets(transport(&deployment, &budget, &figures)),
+        dispatch: Dispatch::Sockets(transport(&deployment, &budget, &figures, &guard)),
+        guard: guard.clone(),
         known: known.as_ref(),
         discovery: addresses,
         log: Log::StandardError,
@@ -198,7 +204,7 @@
     let failed = |e: io::Error| format!("listen: {listen}: {e}");
     let listener = listen_at(listen, door.is_some()).map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
-    let server = Server::new(handle.clone(), deployment, budget, figures, phases);
+    let server = Server::new(handle.clone(), deployment, budget, figures, guard, phases);
     let served = tokio::task::spawn_local(server.run(listener));
     match &door {
         Some(door) => door.serve().await,
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,8 +2,9 @@
 use crate::body::{Content, Fault, Paced, Payload, Reply, Upload, BODY_MOST, REQUEST_WAIT, WHOLE_MOST};
 use crate::driver::{Handle, Waiting};
 use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
+use crate::invariants::Guard;
 use crate::message::{Answer, Outgoing, Untaken};
-use crate::metrics::{Figures, Outcome, Taken};
+use crate::metrics::{CloseReason, Figures, Outcome, Taken};
 use crate::sockets::{Places, Sockets};
 use crate::upstream::{end_to_end, DEADLINE};
 use bytes::Bytes;
@@ -95,6 +96,7 @@
     deployment: Deployment,
     sockets: Sockets,
     figures: Rc<Figures>,
+    guard: Guard,
     phase: watch::Receiver<Phase>,
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
@@ -112,10 +114,11 @@
         deployment: Deployment,
         sockets: Sockets,
         figures: Rc<Figures>,
+        guard: Guard,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Server> {
         let (idle, turn, listening) = (RefCell::default(), Cell::new(0), Cell::new(true));
-        Rc::new(Server { driver, deployment, sockets, figures, phase, idle, listening, turn })
+        Rc::new(Server { driver, deployment, sockets, figures, guard, phase, idle, listening, turn })
     }
 
     /// Whether connections end now. With a successor not before the listener is closed: those that come again because
@@ -252,18 +255,18 @@
             let connection = builder.half_close(true).max_buf_size(HEAD_MOST).serve_connection(io, service);
             let mut connection = std::pin::pin!(connection);
             let mut phase = self.phase.clone();
-            loop {
+            let reason = loop {
                 let mut crowded = false;
                 let ends = phase.borrow_and_update().ends_connections();
                 tokio::select! {
                     // A caller's broken connection or garbage ends this connection only.
-                    _ = connection.as_mut() => break,
+                    _ = connection.as_mut() => break CloseReason::Finished,
                     // Nothing is owed, and half a request may be in the way of a graceful end.
-                    () = link.overdue() => break,
+                    () = link.overdue() => break CloseReason::Overdue,
                     () = link.close.notified() => crowded = true,
                     changed = phase.changed() => if changed.is_err() {
                         // The program is ending.
-                        break;
+                        break CloseReason::Shutdown;
                     },
                     () = sleep(RESTS), if ends => {}
                 }
@@ -271,7 +274,7 @@
                 // a head on a connection that never asked for anything does not.
                 let half = link.watch.midway.get();
                 if crowded && half && link.watch.given.get() == 0 {
-                    break;
+                    break CloseReason::MakesWay;
                 }
                 let rests = if link.watch.given.get() == 0 { RESTS_NEW } else { RESTS };
                 let ends = crowded || self.ends() && link.watch.since.get().elapsed() >= rests;
@@ -279,9 +282,10 @@
                     connection.as_mut().graceful_shutdown();
                     // Guards against callers that never read their answer: no hold on us.
                     let _ = timeout(FLUSH_WAIT, connection.as_mut()).await;
-                    break;
+                    break if crowded { CloseReason::MakesWay } else { CloseReason::Shutdown };
                 }
-            }
+            };
+            self.closed(&link, reason);
         }
         self.rests_no_more(link.place.take());
         if link.refused.get() {
@@ -289,6 +293,17 @@
         }
     }
 
+    /// Counts a connection as closed, and a request on it that this side leaves without an answer.
+    fn closed(&self, link: &Link, reason: CloseReason) {
+        self.figures.closed(reason);
+        let unanswered = link.place.get().is_none() || link.watch.heads.get() > link.watch.given.get();
+        let owed = unanswered && !link.stream.left();
+        tracing::debug!(reason = reason.name(), owed, "client connection closed");
+        if owed {
+            self.guard.closed_unanswered(reason.name());
+        }
+    }
+
     async fn respond(&self, request: Request<Incoming>, busy: Busy) -> Response<Reply<Busy>> {
         let link = busy.link.clone();
         let watch = &link.watch;
@@ -373,7 +388,15 @@
         headers.remove(&DEADLINE);
         let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
         let name = headers.get("req-id").cloned();
-        let out = Outgoing { name, method: head.method, target, headers, body, over: Cell::new(false) };
+        let out = Outgoing {
+            name,
+            method: head.method,
+            target,
+            headers,
+            body,
+            over: Cell::new(false),
+            client: Some(caller.peer()),
+        };
         if caller.left() {
             // It may have waited long, in the queue of the listener or for a place. Nothing was sent.
             return Err(refusal(0.0));
--- a/node/src/test_support.rs
+++ b/node/src/test_support.rs
@@ -16,6 +16,7 @@
         headers: HeaderMap::new(),
         body: Payload::Whole(Bytes::new()),
         over: Cell::new(false),
+        client: None,
     }
 }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -2,7 +2,8 @@
 use crate::body::{frames, Content, Fault, Giver, Payload, Tried, BODY_MOST, STALLED, WHOLE_MOST};
 use crate::connection_pool::Upstream;
 use crate::connector::{Connected, Connector};
-use crate::inbound::Written;
+use crate::inbound::{Shared, Written};
+use crate::invariants::{Guard, WriteConditions};
 use crate::message::{Answer, Outgoing};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -10,6 +11,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use oakflow::Ending;
+use std::cell::Cell;
 use std::error::Error;
 use std::io;
 use std::rc::Rc;
@@ -61,12 +63,13 @@
     connector: Connector,
     /// How long a connection that has rested is tried with a request's head before the body follows.
     trial: Duration,
+    guard: Guard,
 }
 
 impl Transport {
     /// Attempts on the connections of this connector.
-    pub fn new(connector: Connector) -> Self {
-        Transport { connector, trial: TRIAL }
+    pub fn new(connector: Connector, guard: Guard) -> Self {
+        Transport { connector, trial: TRIAL, guard }
     }
 
     /// How long connections may be idle.
@@ -79,6 +82,24 @@
         self.connector.sockets_exhausted()
     }
 
+    /// Has the request's first byte denied if something has changed since it was handed over: the connection's task may
+    /// write it later, and the whole process may be held up in between. Tells whether that happened.
+    fn guard_first_byte(
+        &self,
+        socket: &Shared,
+        to: &Rc<Upstream>,
+        out: &Rc<Outgoing>,
+        until: Instant,
+    ) -> Rc<Cell<bool>> {
+        let denied = Rc::new(Cell::new(false));
+        let (told, guard, to, out) = (denied.clone(), self.guard.clone(), to.clone(), out.clone());
+        socket.set_permit(Box::new(move || {
+            told.set(guard.write(conditions(&to, &out, until, out.client_left())).is_err());
+            !told.get()
+        }));
+        denied
+    }
+
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
     /// `connected` is told when there is a connection to write to. A large answer is handed to `begun` when it begins,
     /// and the attempt ends with it.
@@ -100,9 +121,10 @@
             let now = Instant::now();
             // Guards against what was decided before dialling and must not be written after it: the upstream's
             // grace, the attempt's time or the request itself may be over by now.
-            if to.closed(now) || now >= until || out.over.get() {
+            if self.guard.write(conditions(&to, &out, until, false)).is_err() {
                 return (Ending::Moot, None);
             }
+            let denied = self.guard_first_byte(&conn.socket, &to, &out, until);
             let written = conn.socket.written();
             let body = Tried::new(&out.body, reused.then_some(self.trial), written.clone());
             let Some(Ok(mut request)) = body.map(|body| out.request(body)) else {
@@ -123,6 +145,7 @@
             }
             match answer {
                 Ok(answer) => break (conn, answer),
+                Err(_) if denied.get() => return (Ending::Moot, None),
                 Err(mut e) => {
                     // The last byte was never written. A connection that rested and had been closed meanwhile says
                     // nothing about the upstream, so the next one is tried; each is tried once.
@@ -177,6 +200,17 @@
     }
 }
 
+/// What holds now of an attempt that must be written by `until`.
+fn conditions(to: &Upstream, out: &Outgoing, until: Instant, client_left: bool) -> WriteConditions {
+    let now = Instant::now();
+    WriteConditions {
+        endpoint_closed: to.closed(now),
+        expired: now >= until,
+        request_ended: out.over.get(),
+        client_left,
+    }
+}
+
 /// Reads an answer while it may be a small one, for so long at most. Tells whether this was all of it.
 async fn hold(body: &mut Incoming, held: &mut BytesMut, most: Option<Duration>) -> Result<bool, Ending> {
     let until = most.map(|most| Instant::now() + most);
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -1,6 +1,7 @@
 //! Attempts against real sockets: which connection carries them, and how they end.
 use super::*;
 use crate::connection_pool::Connection;
+use crate::metrics::Figures;
 use crate::sockets::Sockets;
 use crate::test_support::get_request;
 use hyper::Method;
@@ -13,7 +14,7 @@
 }
 
 fn transport(sockets: Sockets) -> Transport {
-    Transport::new(connector(sockets))
+    Transport::new(connector(sockets), Guard::new(Figures::new(&[])))
 }
 
 async fn new_connection(connector: &Connector, upstream: &Rc<Upstream>, until: Instant) -> Connection {
