--- a/node/src/inbound/tests.rs
+++ b/node/src/inbound/tests.rs
@@ -1,5 +1,7 @@
+//! What the shared stream tells of reads, writes and heads.
 use super::*;
-use tokio::io::AsyncWriteExt;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Guards against taking a request for one that may have run whose last byte no connection took: what was
 /// handed over counts as written only once the socket has it, and then once.
@@ -47,3 +49,24 @@
         assert_eq!(kind(&format!("POST /api HTTP/1.1\r\n{headers}\r\n")), wanted, "{headers:?}");
     }
 }
+
+/// Guards against taking a read that returned less than was asked for, as the system may end one early, for news that
+/// nothing more is there: the rest would be read only once still more comes. Here a mark in the stream ends it.
+#[tokio::test]
+async fn a_short_read_hides_nothing_that_is_there() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let addr = listener.local_addr().expect("an address");
+    let (stream, peer) = tokio::join!(TcpStream::connect(addr), listener.accept());
+    let (mut stream, (mut peer, _)) =
+        (Shared::new(stream.expect("connects"), Rc::default()), peer.expect("accepts"));
+    peer.write_all(b"first").await.expect("writes");
+    socket2::SockRef::from(&peer).send_out_of_band(b"!").expect("writes the mark");
+    peer.write_all(b"second").await.expect("writes");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let mut read = Vec::new();
+    while !read.ends_with(b"second") {
+        let some = tokio::time::timeout(Duration::from_secs(2), stream.read_buf(&mut read)).await;
+        assert!(some.expect("what is there is read").expect("it is open") > 0);
+    }
+    assert_eq!(read, b"firstsecond");
+}
--- /dev/null
+++ b/node/tests/asked_lists.rs
@@ -0,0 +1,39 @@
+//! Lists that must be asked for, from discovery that works in turn for many: each test stands for one way in which a
+//! fleet could keep itself from being served.
+mod common;
+use common::*;
+use std::io::{BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// How long a call waits in the queue of a crowded discovery: it fails calls that have waited for 2 s.
+const QUEUED: Duration = Duration::from_millis(1900);
+
+fn answer(stream: &mut BufReader<TcpStream>, status: &str, body: &str) {
+    let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.get_mut().write_all(text.as_bytes()).expect("it is open");
+}
+
+/// A balancer gave each call up after 1.2 s once one had failed, and called anew. Where all did so while discovery needed
+/// 1.4 s and more for each, it worked for calls that nobody waited for, and news of drains never came.
+#[test]
+fn a_call_that_waits_its_turn_at_discovery_is_not_given_up() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let agent = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let config = config(agent.local_addr().expect("an address"), 1024, &known);
+    let node = Node::run(command(&config), Discovery::start());
+    let call = || {
+        let mut stream = BufReader::new(agent.accept().expect("a call").0);
+        let call = read(&mut stream).expect("a call");
+        assert!(call.start.contains("since=1&"), "{}", call.start);
+        stream
+    };
+    answer(&mut call(), "503 Service Unavailable", "");
+    let mut queued = call();
+    std::thread::sleep(QUEUED);
+    answer(&mut queued, "200 OK", &listing(2, false, &[(0, old.addr, "left"), (1, new.addr, "active")]));
+    let next = read(&mut queued).expect("the watch goes on");
+    assert!(next.start.contains("since=2&"), "{}", next.start);
+    assert_eq!(node.client().call(&get("r1", "5000m")).body, b"new");
+}
--- a/node/tests/callers.rs
+++ b/node/tests/callers.rs
@@ -152,3 +152,24 @@
     assert_eq!(client.answer().expect("an answer to the one behind").body, b"later");
     assert!(node.wait().success());
 }
+
+/// A request that was sent behind another waits for its turn in our hands: its client's time runs from when it came.
+#[test]
+fn a_request_that_waited_behind_another_is_sent_with_the_time_that_is_left() {
+    let upstream = Upstream::start(|m| match m.header("req-id") {
+        Some("first") => {
+            std::thread::sleep(Duration::from_millis(600));
+            ok("first")
+        }
+        _ => ok("second"),
+    });
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client_that_sent(&format!("{}{}", get("first", "5000m"), get("second", "2000m")));
+    assert_eq!(client.answer().expect("an answer").body, b"first");
+    assert_eq!(client.answer().expect("an answer").body, b"second");
+    upstream.request();
+    let second = upstream.request();
+    let told = second.header("req-deadline").and_then(|d| d.strip_suffix('u')).expect("microseconds");
+    let told = Duration::from_micros(told.parse().expect("a number"));
+    assert!(told <= Duration::from_millis(1450), "{told:?} of the 2 s of which 0.6 s were over");
+}
