Take only EAGAIN for a drained socket, and make interrupted calls again

Cause: tokio's TcpStream takes a read of fewer bytes than asked for as news that the socket is drained (it forgets its readiness) and waits for an event that never comes, and it hands EINTR on as a broken connection. Ruled out: writes, which hyper makes vectored and for which the runtime keeps readiness.

In the fault library broken reads strike connections that the process opened itself.

Metrics: a connection that hyper answered as malformed no longer counts as closed unanswered.

--- a/faultshim/src/control.rs
+++ b/faultshim/src/control.rs
@@ -25,7 +25,7 @@
     ShortWrite,
     /// A write to a socket returns EINTR.
     InterruptedWrite,
-    /// A read from a socket fails: ETIMEDOUT or EHOSTUNREACH.
+    /// A read from a connection that the process opened itself fails: ETIMEDOUT or EHOSTUNREACH.
     BrokenRead,
     /// `accept` fails for a moment.
     Accept,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -5,6 +5,7 @@
 use crate::clock::from_millis;
 use crate::endpoints::{EndpointConsumer, EndpointUpdate, TopologyNames};
 use crate::log::Log;
+use crate::socket_io::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
@@ -83,7 +84,8 @@
     async fn open(addr: SocketAddr) -> Result<Link, String> {
         let dial = timeout(DIAL, TcpStream::connect(addr)).await;
         let stream = dial.map_err(|_| "not connected in time".to_string())?.map_err(|e| e.to_string())?;
-        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let (sender, conn) =
+            http1::handshake(TokioIo::new(Socket::new(stream))).await.map_err(|e| e.to_string())?;
         let task = tokio::task::spawn_local(async move {
             // How the connection ended shows in the call that was on it.
             let _ = conn.await;
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -1,10 +1,11 @@
 //! A socket that stays in sight while hyper reads and writes it, and what callers' bytes tell before hyper has
 //! them: hyper drops `Content-Length` beside `Transfer-Encoding`, and does not tell of half a head.
+use crate::socket_io;
 use std::cell::{Cell, RefCell, RefMut};
 use std::error::Error;
 use std::fmt;
 use std::future::{poll_fn, Future};
-use std::io::{self, Read};
+use std::io;
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
 use std::rc::{Rc, Weak};
@@ -29,7 +30,7 @@
 
 /// How much of one byte the system holds unread, at once.
 fn peek(stream: &TcpStream) -> io::Result<usize> {
-    socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+    socket_io::uninterrupted(|| socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
 }
 
 /// A stream with more than one holder; closed when the last one drops it.
@@ -80,7 +81,7 @@
             let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
             matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
         }
-        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
     }
 }
 
@@ -147,22 +148,21 @@
 
 impl AsyncRead for Shared {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let mut stream = self.stream();
+        let stream = self.stream.borrow();
         if self.forgotten.get() {
-            let read = (&*socket2::SockRef::from(&*stream)).read(buf.initialize_unfilled());
-            match read {
+            match socket_io::read_now(&stream, buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.forgotten.set(false),
-                read => return Poll::Ready(read.map(|n| buf.advance(n))),
+                read => return Poll::Ready(read),
             }
         }
-        Pin::new(&mut *stream).poll_read(cx, buf)
+        socket_io::poll_read(&stream, cx, buf)
     }
 }
 
 impl AsyncWrite for Shared {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.ensure_permitted()?;
-        Pin::new(&mut *self.stream()).poll_write(cx, buf)
+        socket_io::poll_write(&self.stream.borrow(), cx, &[io::IoSlice::new(buf)])
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -185,7 +185,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.ensure_permitted()?;
-        Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
+        socket_io::poll_write(&self.stream.borrow(), cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod ops;
 mod orders;
 mod server;
+mod socket_io;
 mod sockets;
 mod upstream;
 
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -20,6 +20,8 @@
 pub enum CloseReason {
     /// The client closed it, an answer said that it ends, or it broke.
     Finished,
+    /// Its client sent what is no request, and was told so.
+    Malformed,
     /// Its client was waited for long enough.
     Overdue,
     /// It was idle, and a new connection needed its place.
@@ -30,13 +32,19 @@
 
 impl CloseReason {
     /// All reasons, in the order of their counts.
-    pub const ALL: [CloseReason; 4] =
-        [CloseReason::Finished, CloseReason::Overdue, CloseReason::MakesWay, CloseReason::Shutdown];
+    pub const ALL: [CloseReason; 5] = [
+        CloseReason::Finished,
+        CloseReason::Malformed,
+        CloseReason::Overdue,
+        CloseReason::MakesWay,
+        CloseReason::Shutdown,
+    ];
 
     /// Its name in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
             CloseReason::Finished => "finished",
+            CloseReason::Malformed => "malformed",
             CloseReason::Overdue => "overdue",
             CloseReason::MakesWay => "makes_way",
             CloseReason::Shutdown => "shutdown",
@@ -210,6 +218,7 @@
             "node_writes_denied{reason=\"request_ended\"} 0",
             "node_writes_denied{reason=\"client_left\"} 0",
             "node_connections_closed{reason=\"finished\"} 0",
+            "node_connections_closed{reason=\"malformed\"} 0",
             "node_connections_closed{reason=\"overdue\"} 1",
             "node_connections_closed{reason=\"makes_way\"} 0",
             "node_connections_closed{reason=\"shutdown\"} 0",
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Figures;
 use crate::orders::{Alone, Orders, Store};
 use crate::server::Phase;
+use crate::socket_io::Socket;
 use crate::sockets::Sockets;
 use oakflow::Millis;
 use std::cell::{Cell, RefCell};
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
@@ -195,7 +196,7 @@
                     if callers.len() >= CALLERS_MOST {
                         callers.pop_front().iter().for_each(AbortHandle::abort);
                     }
-                    let caller = tokio::task::spawn_local(self.clone().caller(stream));
+                    let caller = tokio::task::spawn_local(self.clone().caller(Socket::new(stream)));
                     callers.push_back(caller.abort_handle());
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -203,7 +204,7 @@
         }
     }
 
-    async fn caller(self: Rc<Door>, mut stream: TcpStream) {
+    async fn caller(self: Rc<Door>, mut stream: Socket) {
         let answer = match timeout(WAIT, line(&mut stream)).await {
             Ok(Ok(Some(line))) if line.trim() == "METRICS" => {
                 format!("{}END\n", self.figures.text(self.driver.active(), self.driver.upstreams()))
@@ -283,7 +284,7 @@
 }
 
 /// The caller's line. `None`: it is none, as it is too long, no text, or its end is missing.
-async fn line(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
+async fn line(stream: &mut Socket) -> std::io::Result<Option<String>> {
     let (mut line, mut some) = (Vec::new(), [0; LINE_MOST]);
     loop {
         let n = stream.read(&mut some).await?;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -260,7 +260,11 @@
                 let ends = phase.borrow_and_update().ends_connections();
                 tokio::select! {
                     // A caller's broken connection or garbage ends this connection only.
-                    _ = connection.as_mut() => break CloseReason::Finished,
+                    // hyper has answered by itself what it could not read.
+                    ended = connection.as_mut() => break match ended {
+                        Err(e) if e.is_parse() => CloseReason::Malformed,
+                        _ => CloseReason::Finished,
+                    },
                     // Nothing is owed, and half a request may be in the way of a graceful end.
                     () = link.overdue() => break CloseReason::Overdue,
                     () = link.close.notified() => crowded = true,
@@ -297,7 +301,7 @@
     fn closed(&self, link: &Link, reason: CloseReason) {
         self.figures.closed(reason);
         let unanswered = link.place.get().is_none() || link.watch.heads.get() > link.watch.given.get();
-        let owed = unanswered && !link.stream.left();
+        let owed = unanswered && reason != CloseReason::Malformed && !link.stream.left();
         tracing::debug!(reason = reason.name(), owed, "client connection closed");
         if owed {
             self.guard.closed_unanswered(reason.name());
