Count a request's time from when it came, also behind others on its connection

Cause: the time of a request began when the service was given it. One that was sent behind another on its connection, or in the queue of the listener while all descriptors were taken, had waited by then: its upstream was told more time than its client had left, and its answer could come too late. Ruled out: hold-ups of the process (seeds without any), slow writers.

Change: the stream notes since when bytes lie unread, the watch keeps when each head came, and the accept loop for how long connections may have queued while others waited for room; what is left of the request's time is counted from there.

--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -2,6 +2,7 @@
 //! them: hyper drops `Content-Length` beside `Transfer-Encoding`, and does not tell of half a head.
 use crate::socket_io;
 use std::cell::{Cell, RefCell, RefMut};
+use std::collections::VecDeque;
 use std::error::Error;
 use std::fmt;
 use std::future::{poll_fn, Future};
@@ -42,6 +43,8 @@
     whole: Rc<Cell<u64>>,
     /// Whether the runtime has been made to forget that there are bytes to read: the reader asks the system first.
     forgotten: Rc<Cell<bool>>,
+    /// Since when bytes lie unread that were seen, if there are any.
+    unread: Rc<Cell<Option<Instant>>>,
     /// Asked before the first byte of a message is written.
     permit: Rc<RefCell<Option<WritePermit>>>,
 }
@@ -89,8 +92,8 @@
     /// Shares a stream, which counts the messages in `whole` that are written whole.
     pub fn new(stream: TcpStream, whole: Rc<Cell<u64>>) -> Shared {
         let written = Rc::new(Cell::new(Written::Partly));
-        let (forgotten, permit) = (Rc::default(), Rc::default());
-        Shared { stream: Rc::new(RefCell::new(stream)), written, whole, forgotten, permit }
+        let (forgotten, unread, permit) = Default::default();
+        Shared { stream: Rc::new(RefCell::new(stream)), written, whole, forgotten, unread, permit }
     }
 
     /// How far the newest message has been written; whoever hands it over keeps this up to then.
@@ -127,9 +130,22 @@
         Err(io::Error::other(WriteDenied))
     }
 
+    /// Notes bytes that lie unread, if there are any: they have been there since `since` at the earliest.
+    pub fn note_unread(&self, since: Instant) {
+        if self.unread.get().is_none() && peek(&self.stream.borrow()).is_ok_and(|count| count > 0) {
+            self.unread.set(Some(since));
+        }
+    }
+
+    /// When what is read now came: when it was first seen to lie unread, or just now.
+    fn arrival(&self) -> Instant {
+        self.unread.take().unwrap_or_else(Instant::now)
+    }
+
     /// Returns once the peer has left.
     pub async fn leaves(&self) {
         while !self.left() {
+            self.note_unread(Instant::now());
             // Bytes that lie unread would be all the news there is: the end behind them would not be seen at once. The
             // runtime forgets them, but never an end, and waits for what comes next.
             self.forgotten.set(true);
@@ -201,6 +217,8 @@
     pub given: Cell<u64>,
     /// Whether part of a head has been read.
     pub midway: Cell<bool>,
+    /// When the heads came that the service has not been given yet.
+    arrivals: RefCell<VecDeque<Instant>>,
     /// Since when the caller is waited for: its connection, the first byte of a head, or the last answer.
     pub since: Cell<Instant>,
     /// The head, by number from 1, whose body has no one end: it states its length in two ways.
@@ -214,11 +232,18 @@
             heads: Cell::new(0),
             given: Cell::new(0),
             midway: Cell::new(false),
+            arrivals: RefCell::default(),
             since: Cell::new(Instant::now()),
             ambiguous: Cell::new(None),
         })
     }
 
+    /// The service is given the next head; since when that has been here.
+    pub fn give(&self) -> Instant {
+        self.given.set(self.given.get() + 1);
+        self.arrivals.borrow_mut().pop_front().unwrap_or_else(Instant::now)
+    }
+
     /// Whether more has been read than the service has been given.
     pub fn more(&self) -> bool {
         self.midway.get() || self.heads.get() > self.given.get()
@@ -248,7 +273,8 @@
         Watched { stream, watch, head: Vec::new(), at: At::Head }
     }
 
-    fn saw(&mut self, mut bytes: &[u8]) {
+    /// These bytes have been read, which came at `arrival`.
+    fn saw(&mut self, mut bytes: &[u8], arrival: Instant) {
         while !bytes.is_empty() {
             match self.at {
                 At::Lost => return,
@@ -257,14 +283,14 @@
                     bytes = &bytes[n..];
                     self.at = if left > n as u64 { At::Body(left - n as u64) } else { At::Head };
                 }
-                At::Head => bytes = self.saw_head(bytes),
+                At::Head => bytes = self.saw_head(bytes, arrival),
             }
         }
         self.watch.midway.set(!self.head.is_empty());
     }
 
     /// Takes what belongs to the head and returns what is behind it.
-    fn saw_head<'a>(&mut self, mut bytes: &'a [u8]) -> &'a [u8] {
+    fn saw_head<'a>(&mut self, mut bytes: &'a [u8], arrival: Instant) -> &'a [u8] {
         if self.head.is_empty() {
             // Empty lines before a request are allowed.
             let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
@@ -279,6 +305,7 @@
             bytes = rest;
             if self.head.ends_with(b"\n\r\n") || self.head.ends_with(b"\n\n") {
                 self.watch.heads.set(self.watch.heads.get() + 1);
+                self.watch.arrivals.borrow_mut().push_back(arrival);
                 self.at = framing(&self.head).unwrap_or_else(|Ambiguous| {
                     self.watch.ambiguous.set(Some(self.watch.heads.get()));
                     At::Lost
@@ -328,7 +355,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.saw(&buf.filled()[before..]);
+        let arrival = self.stream.arrival();
+        self.saw(&buf.filled()[before..], arrival);
         Poll::Ready(Ok(()))
     }
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
 use crate::body::{Content, Fault, Paced, Payload, Reply, Upload, BODY_MOST, REQUEST_WAIT, WHOLE_MOST};
+use crate::clock::to_millis;
 use crate::driver::{Handle, Waiting};
 use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
 use crate::invariants::Guard;
@@ -20,6 +21,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -180,18 +182,29 @@
     /// Accepts callers until the program closes. Returns once every connection has ended.
     pub async fn run(self: Rc<Server>, listener: TcpListener) {
         let (mut phase, mut failing) = (self.phase.clone(), false);
+        // For how long connections may have been waiting to be accepted: while others waited for room.
+        let mut stalled = Duration::ZERO;
         loop {
+            let mut empty = false;
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                accepted = poll_fn(|cx| {
+                    let accepted = listener.poll_accept(cx);
+                    empty |= accepted.is_pending();
+                    accepted
+                }) => accepted,
                 // Only once nobody waits to be accepted: what they have written counts as taken.
                 _ = phase.wait_for(|p| *p >= Phase::Draining) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
                     failing = false;
+                    stalled = if empty { Duration::ZERO } else { stalled };
+                    let accepted = Instant::now();
                     let Some(places) = self.room().await else { break };
-                    self.clone().begin(stream, places);
+                    let came = accepted.checked_sub(stalled).unwrap_or(accepted);
+                    stalled += accepted.elapsed();
+                    self.clone().begin(stream, places, came);
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
@@ -203,27 +216,30 @@
                 }
             }
         }
-        self.empty(listener).await;
+        self.empty(listener, stalled).await;
         self.listening.set(false);
         self.sockets.callers_left().await;
     }
 
     /// Closes the listener with nobody left in its queue. Asks the system: the runtime learns of new connections only
     /// when it next waits.
-    async fn empty(self: &Rc<Server>, listener: TcpListener) {
+    async fn empty(self: &Rc<Server>, listener: TcpListener, stalled: Duration) {
         let Ok(listener) = listener.into_std() else { return };
         // Fails once nobody waits.
         while let Ok((stream, _)) = listener.accept() {
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
             let (Ok(stream), Some(places)) = (stream, self.room().await) else { continue };
-            self.clone().begin(stream, places);
+            let accepted = Instant::now();
+            self.clone().begin(stream, places, accepted.checked_sub(stalled).unwrap_or(accepted));
         }
     }
 
-    fn begin(self: Rc<Server>, stream: TcpStream, places: Places) {
+    /// Serves a connection, which `came` to the listener's queue then at the earliest.
+    fn begin(self: Rc<Server>, stream: TcpStream, places: Places, came: Instant) {
         // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
         if stream.set_nodelay(true).is_ok() {
             let link = self.welcome(stream);
+            link.stream.note_unread(came);
             tokio::task::spawn_local(self.connection(link, places));
         }
     }
@@ -311,7 +327,8 @@
     async fn respond(&self, request: Request<Incoming>, busy: Busy) -> Response<Reply<Busy>> {
         let link = busy.link.clone();
         let watch = &link.watch;
-        watch.given.set(watch.given.get() + 1);
+        // Behind another request on its connection, or in the listener's queue, it may have waited.
+        let queued = watch.give().elapsed();
         // Guards against requests hidden in the body of another: behind a head that states its length in two
         // ways nothing is read, and behind chunks, whose end the watch does not follow, neither.
         let ambiguous = watch.ambiguous.get() == Some(watch.given.get());
@@ -325,7 +342,7 @@
             }
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => {
-                match self.take(request, watch.since.get().elapsed(), &link.stream).await {
+                match self.take(request, queued, watch.since.get().elapsed(), &link.stream).await {
                     Ok((waiting, taken, upload)) => {
                         // Dropping what waits tells the driver that the caller is gone.
                         let answer = tokio::select! {
@@ -356,10 +373,12 @@
         response
     }
 
-    /// Reads a request, a large one while it goes on, and hands it to the driver. Its caller has been `waited` for.
+    /// Reads a request, a large one while it goes on, and hands it to the driver. It has been `queued` here for so long, and
+    /// its caller has been `waited` for.
     async fn take(
         &self,
         request: Request<Incoming>,
+        queued: Duration,
         waited: Duration,
         caller: &Shared,
     ) -> Result<(Waiting, Taken, Option<Rc<Upload>>), Response<Reply<Busy>>> {
@@ -367,6 +386,7 @@
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let fault = |fault: Fault| refuse_input(fault.status(), &fault.to_string());
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
+        let patience = (patience - to_millis(queued)).max(0.0);
         if body.size_hint().lower() > BODY_MOST {
             return Err(fault(Fault::Large));
         }
