--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -4,10 +4,11 @@
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +19,8 @@
 pub const READY_WITHIN: Duration = Duration::from_secs(10);
 /// SIGKILL comes this long after SIGTERM: the longest deadline of the settings and 0.7 s.
 pub const KILLED_AFTER: Duration = Duration::from_millis(2700);
+/// Balancers listen on ports from here.
+const FIRST_PORT: u16 = 20_000;
 const LOOK: Duration = Duration::from_millis(20);
 const DOOR_WAIT: Duration = Duration::from_secs(2);
 
@@ -279,9 +282,17 @@
     }
 }
 
+/// An address that nobody else in this process is given, where connections that go out take no port.
 fn free_address() -> io::Result<SocketAddr> {
-    // An address where connections that go out take no port.
-    std::net::TcpListener::bind("127.0.0.3:0")?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed).max(FIRST_PORT);
+        match std::net::TcpListener::bind((Ipv4Addr::new(127, 0, 0, 3), port)) {
+            Ok(listener) => return listener.local_addr(),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
+            Err(e) => return Err(e),
+        }
+    }
 }
 
 /// Finds a file that the workspace's build has made, beside this program.
--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -212,9 +212,11 @@
         self.state().told[balancer].0 = Instant::now() + TOLD_AFTER_RELOAD;
     }
 
-    /// The whole list, as a starting balancer may be given it.
-    pub fn snapshot(&self) -> String {
-        self.state().listing(None)
+    /// The whole list, as this balancer is given it at its start.
+    pub fn snapshot(&self, balancer: usize) -> String {
+        let state = self.state();
+        state.tell(&self.oracle, balancer, Instant::now());
+        state.listing(None)
     }
 
     /// Records what counts as told by now though it may not have arrived; to be called often.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -104,7 +104,7 @@
     /// Starts a balancer's process and waits until it is ready.
     pub async fn start(&self, balancer: &mut Balancer) {
         let number = balancer.number;
-        let known = self.discovery.snapshot();
+        let known = self.discovery.snapshot(number);
         let started = balancer.configure(self.agent(number), &known).and_then(|()| balancer.start(self.seed));
         self.discovery.balancer_started(number);
         if let Err(error) = started {
