Give each soak process an address of its own

Cause: two soaks at once listened on the same ports, which balancers share by SO_REUSEPORT, and got each other's requests.

--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -282,12 +282,18 @@
     }
 }
 
+/// An address of loopback that other runs at the same time do not use.
+fn own_address() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high % 200 + 10, low, 3)
+}
+
 /// An address that nobody else in this process is given, where connections that go out take no port.
 fn free_address() -> io::Result<SocketAddr> {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed).max(FIRST_PORT);
-        match std::net::TcpListener::bind((Ipv4Addr::new(127, 0, 0, 3), port)) {
+        match std::net::TcpListener::bind((own_address(), port)) {
             Ok(listener) => return listener.local_addr(),
             Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
             Err(e) => return Err(e),
