--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -117,3 +117,49 @@
         assert!(to.len() as u64 == UPSTREAMS && most > 1.0, "they are warmed up, not shut out: {to:?}");
     }
 }
+
+/// Calls to upstream 1 in the first seconds after it restarted, by a replica whose clock is off by this much.
+fn sent_after_a_restart(clock_off: f64, first_list: bool) -> usize {
+    const START: f64 = 10_000_000.0;
+    let settings = fleet(1, 150.0).remove(0).settings;
+    let mut world = World::new(settings, 1, Vec::new());
+    world.now = START;
+    let restarted = Member { since: START - clock_off, ..member(1) };
+    let before = (1..=4).map(member).collect();
+    let after = [restarted.clone(), member(2), member(3), member(4)].to_vec();
+    if first_list {
+        world.list(Membership::Cached(after));
+    } else {
+        world.list(Membership::Cached(before));
+        world.traffic(3000.0, 100.0, &[0], &|_| Some((Ending::Ok, 20.0)));
+        world.list(Membership::Delta(vec![Member { since: world.now - clock_off, ..restarted }]));
+    }
+    let from = world.now;
+    world.traffic(2000.0, 100.0, &[0], &|_| Some((Ending::Ok, 20.0)));
+    to_the_cold_one(&[world], from)
+}
+
+/// A wall clock that is ahead made a restarted upstream look warm: it got an even share, 50 of 200, from the first second.
+#[test]
+fn a_restart_is_cold_however_far_ahead_the_clock_is() {
+    let usual = sent_after_a_restart(0.0, false);
+    for ahead in [5_000.0, 60_000.0, 3_600_000.0] {
+        let sent = sent_after_a_restart(ahead, false);
+        assert!(sent <= usual * 2, "{sent} calls with a clock {ahead} ms ahead, {usual} else");
+    }
+    assert!((5..40).contains(&usual), "{usual}");
+}
+
+/// One that is behind made upstreams look as if they started in the future, and kept them in slow start until it came.
+#[test]
+fn an_upstream_that_seems_to_start_in_the_future_is_warm_after_its_ramp() {
+    let settings = fleet(1, 150.0).remove(0).settings;
+    let mut world = World::new(settings, 1, Vec::new());
+    world.list(Membership::Cached((1..=4).map(|id| Member { since: 3_600_000.0, ..member(id) }).collect()));
+    world.traffic(RAMP, 100.0, &[0], &|_| Some((Ending::Ok, 20.0)));
+    let from = world.seen.len();
+    world.traffic(2000.0, 100.0, &[0], &|_| Some((Ending::Ok, 20.0)));
+    let refused = world.seen.values().skip(from).filter(|seen| seen.sends.is_empty()).count();
+    assert!(refused <= 10, "{refused} of 200 refused");
+    assert!(sent_after_a_restart(-3_600_000.0, true) <= 2 * sent_after_a_restart(0.0, true));
+}
