Take starts that the list reports for news, whatever the wall clock says

Cause: Endpoints::warmth compared started_ms with the clock that a process reads once at its start. One that is behind makes upstreams start in the future, cold for as long as that takes, and their small budgets have requests refused; one that is ahead makes a restarted upstream look warm. Ruled out: steps while the process runs (the clock goes on by elapsed time), connection handling.

Change: policy/start_times.rs keeps each endpoint's start on the replica's own clock: what starts in the future has started now, and a start that is first reported while the list is followed was at most 3 s ago, which the margin of slow start covers. Restores by staff are never in the future. A clock ahead at the very first list is not seen: an open risk.

--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -119,7 +119,7 @@
             let Ok(_only) = world.releases[number].try_lock() else { continue };
             world.discovery.change(number, "leaving", None);
             world.upstreams[number].drain(self.random.random::<f64>() < 0.5);
-            sleep(Duration::from_millis(self.random.random_range(500..2500))).await;
+            sleep(Duration::from_millis(self.random.random_range(500..9000))).await;
             world.discovery.change(number, "left", None);
             world.upstreams[number].stop();
             sleep(Duration::from_millis(self.random.random_range(100..1500))).await;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 mod latency;
 mod picker;
 mod requests;
+mod start_times;
 mod subscription;
 
 pub use admission::limits;
@@ -18,7 +19,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::{cmp::Ordering, sync::Arc};
 use {
-    admission::*, capacity::*, endpoints::*, health::*, latency::*, picker::*, requests::*, subscription::*,
+    admission::*, capacity::*, endpoints::*, health::*, latency::*, picker::*, requests::*, start_times::*,
+    subscription::*,
 };
 
 const TIMER_CYCLE: u32 = 0;
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -4,6 +4,8 @@
 #[derive(Default)]
 pub(super) struct Endpoint {
     pub(super) member: Member,
+    /// When it started, on this replica's clock; zero: long ago.
+    started: Millis,
     /// Requests in flight, those among them that no response is awaited for now, and their classes.
     pub(super) inflight: u32,
     pub(super) not_awaited: u32,
@@ -26,16 +28,16 @@
 }
 
 impl Endpoint {
-    fn new(member: Member, now: Millis, rng: &mut Pcg64Mcg) -> Self {
+    fn new(member: Member, started: Millis, now: Millis, rng: &mut Pcg64Mcg) -> Self {
         // Hundreds of replicas must not each send their first request at once: start in random phase.
         let times = Endpoint { idle_since: now, awaited_since: now, tokens_at: now, ..Default::default() };
-        Endpoint { member, slowness: 1.0, tokens: unit(rng), ..times }
+        Endpoint { member, started, slowness: 1.0, tokens: unit(rng), ..times }
     }
 
     /// Restarted under its old id: in slow start again, and its history is forgotten.
-    fn restart(&mut self, member: Member, now: Millis, rng: &mut Pcg64Mcg) {
+    fn restart(&mut self, member: Member, started: Millis, now: Millis, rng: &mut Pcg64Mcg) {
         let Endpoint { inflight, not_awaited, classes, .. } = std::mem::take(self);
-        *self = Endpoint { inflight, not_awaited, classes, ..Endpoint::new(member, now, rng) };
+        *self = Endpoint { inflight, not_awaited, classes, ..Endpoint::new(member, started, now, rng) };
     }
 
     pub(super) fn awaited(&self) -> u32 {
@@ -89,6 +91,7 @@
     /// Endpoints that staff leave out, whatever the list says; and when they took others back into use.
     pub(super) suspended: BTreeSet<UpstreamId>,
     restored: BTreeMap<UpstreamId, Millis>,
+    start_times: StartTimes,
     pub(super) ready: usize,
     pub(super) ready_max: usize,
     pub(super) slow_start_ends: Millis,
@@ -113,20 +116,22 @@
             endpoint.member.availability = Availability::Gone;
         }
         for member in members {
-            self.slow_start_ends = self.slow_start_ends.max(member.since + self.settings.ramp_time);
+            let started = self.start_times.record(&member, now);
+            self.slow_start_ends = self.slow_start_ends.max(started + self.settings.ramp_time);
             match self.by_id.get(&member.id).map(|&index| &mut self.slots[index]) {
-                Some(known) if known.member.since != member.since => known.restart(member, now, rng),
+                Some(known) if known.member.since != member.since => known.restart(member, started, now, rng),
                 Some(known) => known.member = member,
                 None if member.availability == Availability::Gone => {}
                 None => {
                     let index = self.free.pop().unwrap_or(self.slots.len());
                     self.by_id.insert(member.id, index);
                     self.slots.resize_with(self.slots.len().max(index + 1), Endpoint::default);
-                    self.slots[index] = Endpoint::new(member, now, rng);
+                    self.slots[index] = Endpoint::new(member, started, now, rng);
                 }
             }
         }
         (0..self.slots.len()).for_each(|index| self.forget_if_gone(index));
+        self.start_times.end_update(now, |id| self.by_id.contains_key(id));
         self.choose_subset();
     }
 
@@ -137,12 +142,14 @@
 
     /// Takes an endpoint back into use that staff had left out, listed or not.
     pub(super) fn restore(&mut self, id: UpstreamId, since: Millis, now: Millis, rng: &mut Pcg64Mcg) {
+        // Another process may have carried it out, whose clock was off.
+        let since = since.min(now);
         self.suspended.remove(&id);
         self.restored.retain(|_, &mut at| now - at < self.settings.ramp_time);
         self.restored.insert(id, since);
         self.slow_start_ends = self.slow_start_ends.max(since + self.settings.ramp_time);
         if let Some(endpoint) = self.by_id.get(&id).map(|&index| &mut self.slots[index]) {
-            endpoint.restart(endpoint.member.clone(), now, rng);
+            endpoint.restart(endpoint.member.clone(), endpoint.started, now, rng);
         }
         self.choose_subset();
     }
@@ -178,8 +185,9 @@
 
     /// The share of its full capacity that an endpoint in slow start has now, for sure.
     pub(super) fn warmth(&self, index: usize, now: Millis) -> f64 {
-        let (settings, member) = (&self.settings, &self.slots[index].member);
-        let since = self.restored.get(&member.id).map_or(member.since, |&at| at.max(member.since));
+        let (settings, endpoint) = (&self.settings, &self.slots[index]);
+        let restored = self.restored.get(&endpoint.member.id);
+        let since = restored.map_or(endpoint.started, |&at| at.max(endpoint.started));
         let age = now - since;
         if since <= 0.0 || age >= settings.ramp_time {
             return 1.0;
