--- a/node/src/orders.rs
+++ b/node/src/orders.rs
@@ -198,6 +198,23 @@
         assert!(error.starts_with("the order is not kept"), "{error}");
     }
 
+    /// A file that the disk does not give for a moment is no broken one: written anew, all that was ordered would be lost.
+    #[test]
+    fn orders_that_cannot_be_read_for_a_moment_are_not_written_over() {
+        let folder = folder("moment");
+        Store::new(Some(folder.clone())).change(|o| o.suspend("s-1")).expect("kept");
+        let (file, aside) = (folder.join(FILE), folder.join("aside"));
+        std::fs::rename(&file, &aside).expect("renames");
+        // A link to itself can be replaced and not read.
+        std::os::unix::fs::symlink(&file, &file).expect("links");
+        let fresh = Store::new(Some(folder.clone()));
+        assert!(fresh.change(|o| o.suspend("s-2")).is_err());
+        std::fs::rename(&aside, &file).expect("renames");
+        let orders = fresh.change(|o| o.suspend("s-2")).expect("kept");
+        assert_eq!(orders.suspended.len(), 2, "{orders:?}");
+        std::fs::remove_dir_all(folder).expect("removes");
+    }
+
     #[test]
     fn one_process_at_a_time_is_alone() {
         let folder = folder("alone");
--- a/node/tests/restarts.rs
+++ b/node/tests/restarts.rs
@@ -127,3 +127,22 @@
         assert_eq!(node.client().call(&get("r2", "15000m")).body, b"new");
     }
 }
+
+/// What the system fails for a moment at the start, here an address that is still taken, is no reason not to start.
+#[test]
+fn an_address_that_is_taken_for_a_moment_is_waited_for() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let taken = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let listen = format!("\"listen\":\"{}\"", taken.local_addr().expect("an address"));
+    let discovery = Discovery::start();
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let config = config(discovery.addr, 1024, &known).replace("\"listen\":\"127.0.0.1:0\"", &listen);
+    let since = Instant::now();
+    let frees = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(800));
+        drop(taken);
+    });
+    let node = Node::run(command(&config), discovery);
+    is_ready(&node, since);
+    frees.join().expect("no panic");
+}
--- a/node/tests/upgrades.rs
+++ b/node/tests/upgrades.rs
@@ -160,3 +160,22 @@
     assert_eq!(node.client().call(&get("1", "9000m")).status(), 200);
     assert_eq!(node.asks(b"SUSPEND s-0\n"), "YES s-0 is left out\n");
 }
+
+/// A new process that cannot write to the folder as it begins to serve is known to the old one once it can.
+#[test]
+fn a_new_process_is_known_once_the_folder_can_be_written_again() {
+    let upstream = Upstream::start(|_| ok(""));
+    let folder = folder("heals");
+    let old = Node::in_folder(&folder, None, &[upstream.addr]);
+    let aside = folder.with_extension("aside");
+    std::fs::rename(&folder, &aside).expect("renames");
+    let new = Node::in_folder(&folder, Some(&old), &[upstream.addr]);
+    assert_eq!(new.asks(b"STATUS\n"), "YES serving\n");
+    std::fs::rename(&aside, &folder).expect("renames");
+    let started = std::time::Instant::now();
+    let orders = || std::fs::read_to_string(folder.join("herondock-orders.json")).unwrap_or_default();
+    while !orders().contains("\"processes\":2") {
+        assert!(started.elapsed() < PATIENCE, "{}", orders());
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+}
