Try again what the system fails for a moment at the start, and never write over orders unread

Cause: one class in three places: a call that failed once was taken for one that cannot succeed. Ruled out: half-written files, which a rename never leaves.

Change: persist tries such calls again for 3 s (1.5 s on SIGHUP); unreadable and malformed orders are told apart, the first refuse the order; the count is tried again until it is made. A start waits 1 s for orders. Restores are noted on the process's own clock, which no step moves. The operators' listener is opened first, so that a wrong one still ends with one line.

--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -25,7 +25,7 @@
 }
 
 /// Milliseconds since 1970 by the system's clock.
-pub fn unix_ms() -> Millis {
+fn unix_ms() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, to_millis)
 }
 
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -259,6 +259,11 @@
         self.set_sweep();
     }
 
+    /// The decision module's clock.
+    pub fn now(&self) -> Millis {
+        self.0.driver.borrow().now()
+    }
+
     /// Whether upstreams are known, so that requests can be served.
     pub fn ready(&self) -> bool {
         self.0.driver.borrow().endpoints.ever_listed()
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod metrics;
 mod ops;
 mod orders;
+mod persist;
 mod server;
 mod socket_io;
 mod sockets;
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -1,9 +1,8 @@
 //! The operators' door: one line to a connection, one answer that begins with `YES` or `NO`. It hands calls on and
 //! decides nothing.
-use crate::clock::unix_ms;
 use crate::driver::Handle;
 use crate::metrics::Figures;
-use crate::orders::{Alone, Orders, Store};
+use crate::orders::{Alone, Orders, ReadError, Store};
 use crate::server::Phase;
 use crate::socket_io::Socket;
 use crate::sockets::Sockets;
@@ -16,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Most callers at once; one more takes the place of the one that has been there longest.
 const CALLERS_MOST: usize = 16;
@@ -36,6 +35,8 @@
 /// How often orders are looked at that came in at another process of this balancer: well within the grace that
 /// such an order has.
 const LOOK: Duration = Duration::from_millis(100);
+/// A process that starts waits this long for orders that the system does not give: those are owed.
+const ORDERS_WAIT: Duration = Duration::from_secs(1);
 /// While another process of this balancer serves, a new one waits this long for its first list.
 const LIST_WAIT: Duration = Duration::from_secs(2);
 
@@ -79,7 +80,10 @@
     /// Prepares for serving: takes over what was ordered, and leaves another process its part. Returns once this
     /// process may listen: beside another one with a list that is not old.
     pub async fn prepare(self: &Rc<Door>) {
-        self.look().await;
+        let until = Instant::now() + ORDERS_WAIT;
+        while !self.look().await && Instant::now() < until {
+            sleep(LOOK).await;
+        }
         if let Ok(Some(alone)) = self.disk(|store| Ok(store.alone())).await {
             *self.alone.borrow_mut() = Some(alone);
             return;
@@ -92,15 +96,21 @@
 
     /// Tells that this process serves from now on, to the one that was there before.
     pub async fn serve(self: &Rc<Door>) {
-        match self.change(|orders| orders.processes += 1).await {
-            Ok(()) => self.number.set(self.applied.borrow().processes),
-            Err(error) => eprintln!("{error}"),
+        if let Err(error) = self.register().await {
+            eprintln!("{error}: tried again until it is");
         }
         let paused = self.applied.borrow().paused;
         self.phase.send_replace(if paused { Phase::Paused } else { Phase::Up });
         tokio::task::spawn_local(self.clone().follow());
     }
 
+    /// Counts this process among those of this balancer that serve.
+    async fn register(&self) -> Result<(), String> {
+        self.change(|orders| orders.processes += 1).await?;
+        self.number.set(self.applied.borrow().processes);
+        Ok(())
+    }
+
     /// Whether another process of this balancer has begun to serve after this one.
     pub async fn succeeded(&self) -> bool {
         self.look().await;
@@ -117,6 +127,11 @@
         loop {
             sleep(LOOK).await;
             self.look().await;
+            if self.number.get() == 0 {
+                // Guards against a folder that could not be written as this process began to serve: the other one would
+                // never send its clients over.
+                let _ = self.register().await;
+            }
             if self.alone.borrow().is_none() {
                 if let Ok(Some(alone)) = self.disk(|store| Ok(store.alone())).await {
                     *self.alone.borrow_mut() = Some(alone);
@@ -131,16 +146,22 @@
         }
     }
 
-    /// Carries out what was ordered elsewhere.
-    async fn look(&self) {
-        match self.disk(|store| store.read()).await {
-            Ok(orders) => {
+    /// Carries out what was ordered elsewhere. Whether the system gave the orders, be they good or not.
+    async fn look(&self) -> bool {
+        let read = self.disk(|store| Ok(store.read())).await;
+        let error = match read {
+            Ok(Ok(orders)) => {
                 self.unreadable.set(false);
                 self.apply(orders);
+                return true;
             }
-            Err(error) if !self.unreadable.replace(true) => eprintln!("orders: {error}: passed over"),
-            Err(_) => {}
+            Ok(Err(error)) => error,
+            Err(_) => return false,
+        };
+        if !self.unreadable.replace(true) {
+            eprintln!("orders: {error}: passed over");
         }
+        matches!(error, ReadError::Malformed(_))
     }
 
     /// Gives an order. Once this returns it is kept and carried out.
@@ -266,7 +287,7 @@
         if !self.driver.knows(id) {
             return Err(unknown(id));
         }
-        let (name, now, cold) = (id.to_string(), unix_ms(), self.cold);
+        let (name, now, cold) = (id.to_string(), self.driver.now(), self.cold);
         self.change(move |orders| orders.restore(&name, now, cold)).await?;
         Ok(format!("{id} is in use"))
     }
--- a/node/src/orders.rs
+++ b/node/src/orders.rs
@@ -3,6 +3,7 @@
 use oakflow::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::fs::{File, TryLockError};
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
@@ -72,7 +73,7 @@
     }
 
     /// The newest orders. An error is what the file has wrong: what was seen before holds.
-    pub fn read(&self) -> Result<Orders, String> {
+    pub fn read(&self) -> Result<Orders, ReadError> {
         let Some(folder) = &self.folder else { return Ok(self.seen().clone()) };
         let read = read(&folder.join(FILE));
         let mut seen = self.seen();
@@ -96,8 +97,13 @@
         // Guards against two processes that change the file at once. Left behind, as others may hold it.
         let lock = File::create(folder.join(CHANGES)).map_err(failed)?;
         lock.lock().map_err(failed)?;
-        // A file that cannot be read is replaced by what this process knows.
-        let mut orders = self.read().unwrap_or_else(|_| self.seen().clone());
+        let mut orders = match self.read() {
+            Ok(orders) => orders,
+            // What is broken is replaced by what this process knows.
+            Err(ReadError::Malformed(_)) => self.seen().clone(),
+            // What may only not be had now is not written over.
+            Err(ReadError::Unreadable(error)) => return Err(failed(error)),
+        };
         order(&mut orders);
         orders.revision += 1;
         write(folder, &orders).map_err(failed)?;
@@ -125,12 +131,31 @@
 const CHANGES: &str = "herondock-orders.lock";
 const PROCESS: &str = "herondock-process.lock";
 
-fn read(path: &Path) -> Result<Option<Orders>, String> {
-    let said = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+/// Why the file of orders was not read.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The system does not give it, perhaps only now.
+    Unreadable(io::Error),
+    /// It holds no orders.
+    Malformed(String),
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ReadError::Unreadable(error) => write!(f, "{FILE}: {error}"),
+            ReadError::Malformed(what) => f.write_str(what),
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Option<Orders>, ReadError> {
+    let said = |e: &dyn fmt::Display| ReadError::Malformed(format!("{}: {e}", path.display()));
     let text = match std::fs::metadata(path) {
         Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
         Ok(meta) if meta.len() > FILE_MOST => return Err(said(&"too large")),
-        _ => std::fs::read(path).map_err(|e| said(&e))?,
+        Err(e) => return Err(ReadError::Unreadable(e)),
+        Ok(_) => std::fs::read(path).map_err(ReadError::Unreadable)?,
     };
     let orders: Orders = serde_json::from_slice(&text).map_err(|e| said(&e))?;
     if orders.version != VERSION {
@@ -179,14 +204,14 @@
         for text in ["", "{\"version\":1,\"rev", "{}", "\u{0}"] {
             std::fs::write(folder.join(FILE), text).expect("writes");
             let store = Store::new(Some(folder.clone()));
-            assert!(store.read().is_err_and(|e| e.contains(FILE)), "{text:?}");
+            assert!(store.read().is_err_and(|e| e.to_string().contains(FILE)), "{text:?}");
             assert!(store.change(|o| o.suspend("s-1")).is_ok());
             assert!(store.read().is_ok_and(|o| o.suspended.contains("s-1")));
         }
         let later = std::fs::read_to_string(folder.join(FILE)).expect("reads").replace("n\":1", "n\":2");
         std::fs::write(folder.join(FILE), later).expect("writes");
         let error = Store::new(Some(folder.clone())).read().expect_err("another version");
-        assert!(error.contains("version 2"), "{error}");
+        assert!(error.to_string().contains("version 2"), "{error}");
         std::fs::remove_dir_all(folder).expect("removes");
     }
 
--- a/node/src/program.rs
+++ b/node/src/program.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Figures;
 use crate::ops::{self, Door};
 use crate::orders::Store;
+use crate::persist::persist;
 use crate::server::{Phase, Server};
 use crate::sockets::Sockets;
 use crate::upstream::Transport;
@@ -29,6 +30,10 @@
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// What the system fails at the start is tried again for this long, well within the time to get ready; and to read a new
+/// configuration, well within the time after which what it leads to counts as told.
+const START_RETRY: Duration = Duration::from_secs(3);
+const RELOAD_RETRY: Duration = Duration::from_millis(1500);
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// SIGKILL comes this long after the longest deadline has passed since SIGTERM, at the soonest; a deadline longer than
@@ -67,9 +72,11 @@
     }
 }
 
-fn load() -> Result<Config, String> {
+/// Reads the configuration. The system may fail to for a moment, which is waited for.
+async fn load(limit: Duration) -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
-    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let text = persist(limit, || std::fs::read(&path)).await;
+    let text = text.map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
     let mut config = Config::parse(&text)?;
     if let (None, Some(ops)) = (config.ops, std::env::var("NODE_OPS").ok().filter(|ops| !ops.is_empty())) {
         config.ops = Some(ops.parse().map_err(|e| format!("NODE_OPS: {ops:?}: {e}"))?);
@@ -96,7 +103,7 @@
 /// the program runs; a file that cannot be read changes nothing.
 async fn follow(mut hup: Signal, discovery: watch::Sender<SocketAddr>, figures: Rc<Figures>) {
     while hup.recv().await.is_some() {
-        let loaded = load();
+        let loaded = load(RELOAD_RETRY).await;
         figures.reloaded(loaded.is_ok());
         match loaded {
             Ok(config) => {
@@ -148,16 +155,23 @@
     Transport::new(connector, guard.clone())
 }
 
+/// A listener for operators, if there is to be one. Opened before anything else is started, so that a wrong address ends the
+/// program with one line.
+async fn listen_for_operators(ops: Option<SocketAddr>) -> Result<Option<TcpListener>, String> {
+    let Some(ops) = ops else { return Ok(None) };
+    let listener = persist(START_RETRY, || listen_at(ops, false)).await;
+    listener.map(Some).map_err(|e| format!("ops: {ops}: {e}"))
+}
+
 /// Opens the operators' door, if there is one.
 async fn open_door(
     name: &str,
-    ops: Option<SocketAddr>,
+    listener: Option<TcpListener>,
     make: impl FnOnce(Store) -> Rc<Door>,
 ) -> Result<Option<Rc<Door>>, String> {
-    let Some(ops) = ops else { return Ok(None) };
-    let failed = |e: io::Error| format!("ops: {ops}: {e}");
-    let listener = TcpListener::bind(ops).await.map_err(failed)?;
-    eprintln!("{name}: operators call at {}", listener.local_addr().map_err(failed)?);
+    let Some(listener) = listener else { return Ok(None) };
+    let address = listener.local_addr().map_err(|e| format!("ops: {e}"))?;
+    eprintln!("{name}: operators call at {address}");
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
     let door = make(Store::new(folder));
     tokio::task::spawn_local(door.clone().run(listener));
@@ -169,9 +183,10 @@
     // Before anything else: a signal that is not caught ends the program.
     let Signals { hangup, mut terminate, mut interrupt } = Signals::catch()?;
     let clock = Clock::start();
-    let config = load()?;
+    let config = load(START_RETRY).await?;
     start_events(&config.name);
     let Config { name, listen, discovery, ops, seed, sockets, known, deployment } = config;
+    let operators = listen_for_operators(ops).await?;
     let known = known.unwrap_or_else(|e| {
         eprintln!("{name}: known: {}: passed over", e.replace('\n', " "));
         None
@@ -200,9 +215,9 @@
         let ramp_time = deployment.policy.ramp_time;
         Door::new(handle.clone(), figures.clone(), budget.clone(), phase.clone(), store, ramp_time)
     };
-    let door = open_door(&name, ops, make_door).await?;
+    let door = open_door(&name, operators, make_door).await?;
     let failed = |e: io::Error| format!("listen: {listen}: {e}");
-    let listener = listen_at(listen, door.is_some()).map_err(failed)?;
+    let listener = persist(START_RETRY, || listen_at(listen, door.is_some())).await.map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     let server = Server::new(handle.clone(), deployment, budget, figures, guard, phases);
     let served = tokio::task::spawn_local(server.run(listener));
