Empty the listener's queue behind connections that fail in it

Cause: Server::empty stopped at the first accept that failed, and the close of the listener reset all that waited behind it, whose requests counted as taken; run closed an idle connection for each accept that failed, also where that freed nothing (ECONNABORTED, EINTR).

Change: only an empty queue or 64 failures in a row end it; only shortages (now with ENOMEM) have an idle connection make way.

Measured: a test of a queue with failures in it; the loop of before would return nothing at its first entry.

--- a/node/src/connector.rs
+++ b/node/src/connector.rs
@@ -1,12 +1,11 @@
 //! Connections to upstreams: an idle one where there is one, a new one otherwise.
 use crate::connection_pool::{Connection, Upstream};
 use crate::inbound::{Shared, HEAD_MOST};
-use crate::sockets::Sockets;
+use crate::sockets::{is_shortage, Sockets};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
 use std::cell::Cell;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -147,11 +146,5 @@
     }
 }
 
-/// Whether a connection was not made for want of something on this machine.
-fn is_shortage(e: &io::Error) -> bool {
-    // ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
-    matches!(e.raw_os_error(), Some(23 | 24 | 99 | 105))
-}
-
 #[cfg(test)]
 mod tests;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -6,7 +6,7 @@
 use crate::invariants::Guard;
 use crate::message::{Answer, Outgoing, Untaken};
 use crate::metrics::{CloseReason, Figures, Outcome, Taken};
-use crate::sockets::{Places, Sockets};
+use crate::sockets::{is_shortage, Places, Sockets};
 use crate::upstream::{end_to_end, DEADLINE};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,6 +22,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -53,6 +54,8 @@
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Accepts that fail one after the other as the listener is closed, at the most.
+const ACCEPT_TRIES: usize = 64;
 /// While all callers' connections are busy, the next look for one that may be closed comes after this.
 const CROWDED_PAUSE: Duration = Duration::from_millis(10);
 /// When a caller may come again that found as many requests open as may be.
@@ -211,7 +214,9 @@
                     if !std::mem::replace(&mut failing, true) {
                         eprintln!("accept: {e}");
                     }
-                    self.close_one();
+                    if is_shortage(&e) {
+                        self.close_one();
+                    }
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -225,8 +230,7 @@
     /// when it next waits.
     async fn empty(self: &Rc<Server>, listener: TcpListener, stalled: Duration) {
         let Ok(listener) = listener.into_std() else { return };
-        // Fails once nobody waits.
-        while let Ok((stream, _)) = listener.accept() {
+        while let Some((stream, _)) = next_in_queue(|| listener.accept()).await {
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
             let (Ok(stream), Some(places)) = (stream, self.room().await) else { continue };
             let accepted = Instant::now();
@@ -520,6 +524,20 @@
     }
 }
 
+/// The next connection in a listener's queue; none once nobody waits. Guards against leaving all that wait behind one that
+/// failed: the close of the listener resets them.
+async fn next_in_queue<T>(mut accept: impl FnMut() -> io::Result<T>) -> Option<T> {
+    for _ in 0..ACCEPT_TRIES {
+        match accept() {
+            Ok(accepted) => return Some(accepted),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+            Err(e) if is_shortage(&e) => sleep(ACCEPT_PAUSE).await,
+            Err(_) => {}
+        }
+    }
+    None
+}
+
 /// Which of two connections makes way for a new one: the eldest newcomer or (`true`) the one in use that rested
 /// longest, by their ages.
 fn makes_way(newcomer: Option<Duration>, kept: Option<Duration>, more_kept: bool) -> Option<bool> {
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -28,3 +28,26 @@
         assert_eq!(span(bad), None, "{bad}");
     }
 }
+
+/// A connection that failed in the listener's queue left all behind it to be reset.
+#[tokio::test(start_paused = true)]
+async fn the_queue_is_emptied_behind_connections_that_fail_in_it() {
+    const ECONNABORTED: i32 = 103;
+    const ENFILE: i32 = 23;
+    let mut queue = [Err(ECONNABORTED), Ok(1), Err(ENFILE), Err(ECONNABORTED), Ok(2)].into_iter();
+    let mut accept = || match queue.next() {
+        Some(Ok(connection)) => Ok(connection),
+        Some(Err(errno)) => Err(io::Error::from_raw_os_error(errno)),
+        None => Err(io::ErrorKind::WouldBlock.into()),
+    };
+    assert_eq!(next_in_queue(&mut accept).await, Some(1));
+    assert_eq!(next_in_queue(&mut accept).await, Some(2));
+    assert_eq!(next_in_queue(&mut accept).await, None);
+    let mut tries = 0;
+    let broken = next_in_queue(|| {
+        tries += 1;
+        Err::<(), _>(io::Error::from_raw_os_error(ENFILE))
+    });
+    assert!(broken.await.is_none());
+    assert_eq!(tries, ACCEPT_TRIES);
+}
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -1,5 +1,6 @@
 //! The one budget of sockets that callers and upstreams share.
 use std::cell::RefCell;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -83,6 +84,12 @@
     }
 }
 
+/// Whether a call on sockets failed for want of something on this machine.
+pub fn is_shortage(e: &io::Error) -> bool {
+    // ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
+    matches!(e.raw_os_error(), Some(12 | 23 | 24 | 99 | 105))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
