--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -143,7 +143,14 @@
             deadline.as_millis()
         );
         let new_connection = self.connection.as_ref().is_some_and(|connection| !connection.used);
-        let start = RequestStart { effect, balancer: self.crowd.balancer, deadline, new_connection, plain };
+        let start = RequestStart {
+            effect,
+            balancer: self.crowd.balancer,
+            deadline,
+            answer_within: deadline,
+            new_connection,
+            plain,
+        };
         Prepared { id, text: text.into_bytes(), start }
     }
 
@@ -168,7 +175,7 @@
     /// Waits for the answer to a request that has been sent.
     async fn receive(&mut self, request: &Prepared) {
         let Some(connection) = self.connection.as_mut() else { return };
-        let answer = timeout(request.start.deadline + BEYOND, connection.reader.message()).await;
+        let answer = timeout(request.start.answer_within + BEYOND, connection.reader.message()).await;
         let (end, keep) = match answer {
             Err(_) => (ClientEnd::NoAnswer, false),
             Ok(Ok(answer)) => {
@@ -220,7 +227,12 @@
     /// Several requests at once.
     async fn pipeline(&mut self) {
         let count = self.random.random_range(2..5);
-        let requests: Vec<Prepared> = (0..count).map(|_| self.prepare(true)).collect();
+        let mut requests: Vec<Prepared> = (0..count).map(|_| self.prepare(true)).collect();
+        let mut longest = Duration::ZERO;
+        for request in &mut requests {
+            longest = longest.max(request.start.deadline);
+            request.start.answer_within = longest;
+        }
         let text: Vec<u8> = requests.iter().flat_map(|request| request.text.clone()).collect();
         let Some(connection) = self.connection.as_mut() else { return };
         requests.iter().for_each(|request| self.crowd.oracle.request(&request.id, request.start));
--- a/soak/src/oracle/tests.rs
+++ b/soak/src/oracle/tests.rs
@@ -19,7 +19,17 @@
 
 fn request(oracle: &Oracle, id: &str, effect: Effect) {
     let deadline = Duration::from_secs(1);
-    oracle.request(id, RequestStart { effect, balancer: 0, deadline, new_connection: true, plain: true });
+    oracle.request(
+        id,
+        RequestStart {
+            effect,
+            balancer: 0,
+            deadline,
+            answer_within: deadline,
+            new_connection: true,
+            plain: true,
+        },
+    );
 }
 
 fn attempt(oracle: &Oracle, id: &str, end: AttemptEnd) {
