--- a/node/tests/asked_lists.rs
+++ b/node/tests/asked_lists.rs
@@ -4,7 +4,7 @@
 use common::*;
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a call waits in the queue of a crowded discovery: it fails calls that have waited for 2 s.
 const QUEUED: Duration = Duration::from_millis(1900);
@@ -37,3 +37,28 @@
     assert!(next.start.contains("since=2&"), "{}", next.start);
     assert_eq!(node.client().call(&get("r1", "5000m")).body, b"new");
 }
+
+/// A fleet that is moved to a new address together called it anew after 0.1 s where it refused, and kept its queue full.
+#[test]
+fn a_new_address_that_refuses_is_given_time() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let node = Node::start(1024, &known);
+    node.discovery.called();
+    let agent = TcpListener::bind("127.0.0.1:0").expect("binds");
+    node.reload(&config(agent.local_addr().expect("an address"), 1024, "null"));
+    let call = || {
+        let mut stream = BufReader::new(agent.accept().expect("a call").0);
+        let call = read(&mut stream).expect("a call");
+        assert!(call.start.starts_with("GET /api/targets "), "{}", call.start);
+        stream
+    };
+    answer(&mut call(), "503 Service Unavailable", "");
+    let refused = Instant::now();
+    let mut again = call();
+    assert!(refused.elapsed() >= Duration::from_millis(350), "{:?}", refused.elapsed());
+    assert!(refused.elapsed() < Duration::from_millis(2500), "{:?}", refused.elapsed());
+    answer(&mut again, "200 OK", &listing(1, true, &[(0, upstream.addr, "active")]));
+    let next = read(&mut again).expect("the watch goes on");
+    assert!(next.start.contains("since=1&"), "{}", next.start);
+}
