Leave the pause to the decision module where a new address of discovery refuses

Cause: the first calls at a new address were repeated after 0.1 to 0.5 s without jitter, also where it refused them; a fleet that is moved together kept the queue there full in the way of the incident.

Change: a refusal there is told to the module like any other, which waits 0.4 to 2 s at random.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -94,6 +94,12 @@
     Stale { version: u64, known: u64 },
 }
 
+impl CallError {
+    fn is_refusal(&self) -> bool {
+        matches!(self, CallError::Refused(_))
+    }
+}
+
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -217,26 +223,10 @@
         (self.addr, self.link, self.version) = (addr, None, None);
     }
 
-    /// Serves subscriptions for ever. After a move the first call waits for none and is repeated until it has
-    /// brought the whole list: until then the balancer goes by what it was told before.
+    /// Serves subscriptions for ever. After a move the first call waits for none: until it has brought the whole list the
+    /// balancer goes by what it was told before.
     async fn serve(&mut self, consumer: &impl EndpointConsumer, moved: bool) {
-        let mut answered = false;
-        if moved {
-            let mut pause = MOVED_PAUSE;
-            while !answered {
-                match self.call(self.patience.moved_answer).await {
-                    Ok(update) => {
-                        consumer.apply(&update);
-                        answered = true;
-                    }
-                    Err(error) => {
-                        self.failed(&error);
-                        tokio::time::sleep(pause).await;
-                        pause = (pause * 2).min(MOVED_PAUSE_MOST);
-                    }
-                }
-            }
-        }
+        let mut answered = moved && self.first_call(consumer).await;
         loop {
             if !self.pushed && !answered {
                 consumer.subscribed().await;
@@ -263,13 +253,36 @@
             };
             answered = false;
             self.failed(&error);
-            consumer.update_failed(matches!(error, CallError::Refused(_)));
+            consumer.update_failed(error.is_refusal());
             if self.pushed {
                 tokio::time::sleep(self.pause).await;
             }
         }
     }
 
+    /// Calls a new address until it answers. Whether it has; where it refuses, and serves a whole fleet that was moved
+    /// together, the module says when to call again.
+    async fn first_call(&mut self, consumer: &impl EndpointConsumer) -> bool {
+        let mut pause = MOVED_PAUSE;
+        loop {
+            match self.call(self.patience.moved_answer).await {
+                Ok(update) => {
+                    consumer.apply(&update);
+                    return true;
+                }
+                Err(error) => {
+                    self.failed(&error);
+                    if error.is_refusal() && !self.pushed {
+                        consumer.update_failed(true);
+                        return false;
+                    }
+                }
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MOVED_PAUSE_MOST);
+        }
+    }
+
     fn failed(&mut self, error: &CallError) {
         self.link = None;
         let error = error.to_string();
--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -22,6 +22,8 @@
 /// Balancers listen on ports from here.
 const FIRST_PORT: u16 = 20_000;
 const LOOK: Duration = Duration::from_millis(20);
+/// A process that has a successor ends within this time: the longest deadline of the settings and 0.65 s, with some room.
+const UPGRADED_WITHIN: Duration = Duration::from_millis(3700);
 const DOOR_WAIT: Duration = Duration::from_secs(2);
 
 /// What all balancers of a run share.
@@ -87,6 +89,23 @@
     NoAnswer,
 }
 
+/// Why a process was not replaced.
+#[derive(Debug, thiserror::Error)]
+pub enum UpgradeError {
+    /// A file or process could not be made.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The new process ended.
+    #[error("the new process ended: {0}")]
+    Ended(String),
+    /// The new process did not serve in time.
+    #[error("the new process is not ready")]
+    NotReady,
+    /// The old process did not end as it should.
+    #[error("the old process ended with {0:?}")]
+    Old(Option<i32>),
+}
+
 impl Balancer {
     /// Prepares a balancer, which is not started yet.
     pub fn new(number: usize, fleet: &Fleet) -> io::Result<Balancer> {
@@ -155,6 +174,39 @@
         .to_string()
     }
 
+    /// Starts another process beside its own, tells the old one to end once the new one serves, and waits until it has.
+    pub async fn upgrade(
+        &mut self,
+        discovery: SocketAddr,
+        known: &str,
+        seed: u64,
+    ) -> Result<(), UpgradeError> {
+        let old_ops = std::mem::replace(&mut self.ops, free_address()?);
+        self.configure(discovery, known)?;
+        let old = self.child.take();
+        let started = Instant::now();
+        self.start(seed)?;
+        while !self.ask("STATUS").await.is_ok_and(|status| status.starts_with("YES")) {
+            if let Some(how) = self.ended() {
+                (self.child, self.ops) = (old, old_ops);
+                return Err(UpgradeError::Ended(how));
+            }
+            if started.elapsed() > READY_WITHIN {
+                return Err(UpgradeError::NotReady);
+            }
+            sleep(LOOK).await;
+        }
+        let new = std::mem::replace(&mut self.child, old);
+        self.signal(Signal::Terminate);
+        let code = self.exited(UPGRADED_WITHIN).await;
+        self.kill().await;
+        self.child = new;
+        match code {
+            Some(0) => Ok(()),
+            code => Err(UpgradeError::Old(code)),
+        }
+    }
+
     /// Starts its process.
     pub fn start(&mut self, seed: u64) -> io::Result<()> {
         self.starts += 1;
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,6 +1,6 @@
 //! Clients: those that keep to the protocol, those that leave, and those that misbehave.
 use crate::oracle::{ClientEnd, Effect, Oracle, RequestStart, Rule};
-use crate::upstream::answer_body;
+use crate::upstream::{answer_body, LARGE};
 use crate::wire::{Message, ReadError, Reader};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -18,6 +18,10 @@
 /// Deadlines of requests, in milliseconds.
 const DEADLINES_MS: std::ops::Range<u64> = 250..2000;
 const BODY: &str = "twelve bytes";
+/// A large body is the small one so often: 120 KB.
+const LARGE_REPEATS: usize = 10_000;
+/// Clients send this many times as much in a burst.
+const BURST: f64 = 5.0;
 /// Pause before a client connects again to a balancer that is not there.
 const RECONNECT: Duration = Duration::from_millis(50);
 
@@ -34,6 +38,8 @@
     Pipelines,
     /// Writes its requests slowly.
     Slow,
+    /// Sends and gets bodies that are passed on while they come.
+    Large,
     /// Stops in the middle of a request and stays.
     Stalls,
     /// Sends what is no request.
@@ -56,6 +62,8 @@
     pub rate: f64,
     /// Set when no more requests are to be sent.
     pub ends: Arc<AtomicBool>,
+    /// Set while clients send several times as much.
+    pub burst: AtomicBool,
     /// Set while no new connections are made: the balancer is known to end.
     pub refuses: AtomicBool,
     /// Who judges.
@@ -94,7 +102,8 @@
     /// Sends requests until the crowd ends.
     pub async fn run(mut self) {
         while !self.crowd.ends.load(Ordering::Relaxed) {
-            let pause = -(1.0 - self.random.random::<f64>()).ln() / self.crowd.rate;
+            let factor = if self.crowd.burst.load(Ordering::Relaxed) { BURST } else { 1.0 };
+            let pause = -(1.0 - self.random.random::<f64>()).ln() / (self.crowd.rate * factor);
             sleep(Duration::from_secs_f64(pause.min(3.0))).await;
             if self.habit == Habit::Fresh {
                 self.connection = None;
@@ -104,7 +113,7 @@
                 continue;
             }
             match self.habit {
-                Habit::Steady | Habit::Fresh | Habit::Slow => self.exchange().await,
+                Habit::Steady | Habit::Fresh | Habit::Slow | Habit::Large => self.exchange().await,
                 Habit::Leaves => self.leave().await,
                 Habit::Pipelines => self.pipeline().await,
                 Habit::Stalls | Habit::Babbles | Habit::Silent => self.misbehave().await,
@@ -127,7 +136,8 @@
 
     fn prepare(&mut self, plain: bool) -> Prepared {
         self.sent += 1;
-        let id = format!("c{}-{}", self.number, self.sent);
+        let large = self.habit == Habit::Large;
+        let id = format!("c{}-{}{}", self.number, self.sent, if large { LARGE } else { "" });
         let (class, effect) = CLASSES[self.random.random_range(0..CLASSES.len())];
         let deadline = Duration::from_millis(self.random.random_range(DEADLINES_MS));
         let (method, key, body) = match effect {
@@ -135,6 +145,7 @@
             Effect::Guarded => ("POST", format!("Idempotency-Key: k-{id}\r\n"), BODY),
             Effect::SingleShot => ("POST", String::new(), BODY),
         };
+        let body = if large { body.repeat(LARGE_REPEATS) } else { body.to_string() };
         let length =
             if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
         let text = format!(
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// Only these kinds of trouble, such as `restart,shorttransfers`.
     #[arg(long, value_delimiter = ',', value_parser = trouble)]
     only: Vec<Trouble>,
+    /// How many times as many troubles as usual.
+    #[arg(long, default_value_t = 1)]
+    intensity: usize,
     /// The program; that of the workspace's build without it.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -98,6 +101,7 @@
             balancers: arguments.balancers,
             upstreams: arguments.upstreams,
             only: arguments.only.clone(),
+            intensity: arguments.intensity,
             program: program.clone(),
             library: library.clone(),
             folder: folder.join(format!("seed-{seed}")),
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -162,6 +162,8 @@
     closed: HashMap<(usize, usize), Vec<ClosedSpan>>,
     /// Times in which a balancer was being killed or not running: what happens there is no fault of its.
     down: HashMap<usize, Vec<(Instant, Instant)>>,
+    /// Times in which idle clients filled a balancer's descriptors: it may shut new connections unread.
+    crowded: HashMap<usize, Vec<(Instant, Instant)>>,
     /// Times of attempts at each upstream in slow start, by upstream: when it started.
     started: HashMap<usize, Vec<Instant>>,
     violations: Vec<Violation>,
@@ -312,6 +314,11 @@
         self.state().down.entry(balancer).or_default().push((from, Instant::now()));
     }
 
+    /// Idle clients filled a balancer's descriptors from then on until now.
+    pub fn was_crowded(&self, balancer: usize, from: Instant) {
+        self.state().crowded.entry(balancer).or_default().push((from, Instant::now()));
+    }
+
     /// An upstream starts now, cold.
     pub fn upstream_started(&self, upstream: usize) {
         self.state().started.entry(upstream).or_default().push(Instant::now());
@@ -368,8 +375,7 @@
 
     /// Whether the balancer was down or being killed at any time in this span.
     fn was_down(&self, balancer: usize, from: Instant, to: Instant) -> bool {
-        let down = self.state.down.get(&balancer);
-        down.is_some_and(|spans| spans.iter().any(|&(start, end)| start <= to && end >= from))
+        overlaps(self.state.down.get(&balancer), from, to)
     }
 
     fn request(&mut self, id: &str, request: &Request) {
@@ -398,6 +404,9 @@
             _ if excused => {}
             ClientEnd::NoAnswer => self.broken(Rule::Lost, *at, about),
             // On a connection that was used before, the close may have crossed the request.
+            ClientEnd::Closed
+                if request.attempts.is_empty()
+                    && overlaps(self.state.crowded.get(&request.balancer), request.sent, *at) => {}
             ClientEnd::Closed if request.new_connection || !request.attempts.is_empty() => {
                 self.broken(Rule::Lost, *at, about)
             }
@@ -521,6 +530,11 @@
     }
 }
 
+/// Whether one of these times overlaps a span.
+fn overlaps(times: Option<&Vec<(Instant, Instant)>>, from: Instant, to: Instant) -> bool {
+    times.is_some_and(|times| times.iter().any(|&(start, end)| start <= to && end >= from))
+}
+
 /// The first window in which an upstream that started at `start` got more calls than it may: when, and how many.
 fn overload(calls: &[Instant], start: Instant, slow_start: &SlowStart) -> Option<(Instant, usize, f64)> {
     let mut first = 0;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -40,13 +40,19 @@
     ClockOff,
     /// Files of a balancer cannot be written or read, while staff give orders.
     Disk,
-    /// Staff suspend and restore upstreams, and pause and resume balancers.
+    /// Staff suspend and restore upstreams.
     Orders,
+    /// Clients send several times as much.
+    Burst,
+    /// Idle clients fill a balancer's descriptors.
+    IdleCrowd,
+    /// A balancer's process is replaced by another that serves beside it first.
+    Upgrade,
 }
 
 impl Trouble {
     /// All kinds.
-    pub const ALL: [Trouble; 18] = [
+    pub const ALL: [Trouble; 21] = [
         Trouble::Restart,
         Trouble::Kill,
         Trouble::Reload,
@@ -65,6 +71,9 @@
         Trouble::ClockOff,
         Trouble::Disk,
         Trouble::Orders,
+        Trouble::Burst,
+        Trouble::IdleCrowd,
+        Trouble::Upgrade,
     ];
 
     /// The kind with this name, as in [`std::fmt::Debug`], in lower case.
@@ -86,11 +95,13 @@
     pub seed: u64,
 }
 
-/// Troubles, by the time they begin. With `only`, just these kinds.
-pub fn plan(seed: u64, length: Duration, only: &[Trouble]) -> Vec<Planned> {
+/// Troubles, by the time they begin; `intensity` times as many as usual. With `only`, just these kinds, each that often and
+/// once more.
+pub fn plan(seed: u64, length: Duration, only: &[Trouble], intensity: usize) -> Vec<Planned> {
     let mut random = StdRng::seed_from_u64(seed);
     let kinds = if only.is_empty() { &Trouble::ALL[..] } else { only };
-    let count = if only.is_empty() { random.random_range(5..10) } else { only.len() * 2 };
+    let count =
+        if only.is_empty() { random.random_range(5..10) * intensity } else { only.len() * (intensity + 1) };
     let seconds = length.as_secs_f64();
     let mut planned: Vec<Planned> = (0..count)
         .map(|number| {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,12 +27,13 @@
 const RATE: f64 = 30.0;
 const QUOTA: f64 = 60.0;
 /// Clients of each balancer, by habit.
-const HABITS: [(Habit, usize); 8] = [
+const HABITS: [(Habit, usize); 9] = [
     (Habit::Steady, 5),
     (Habit::Fresh, 2),
     (Habit::Leaves, 2),
     (Habit::Pipelines, 1),
     (Habit::Slow, 1),
+    (Habit::Large, 1),
     (Habit::Stalls, 1),
     (Habit::Babbles, 1),
     (Habit::Silent, 1),
@@ -53,6 +54,8 @@
     pub upstreams: usize,
     /// Only these troubles; all where there are none.
     pub only: Vec<Trouble>,
+    /// How many times as many troubles as usual.
+    pub intensity: usize,
     /// The program.
     pub program: PathBuf,
     /// The fault library.
@@ -82,7 +85,8 @@
     /// Two addresses of discovery for each balancer, and which of them it uses.
     agents: Vec<[SocketAddr; 2]>,
     moved: Vec<AtomicBool>,
-    seed: u64,
+    /// Feeds the balancers' faults.
+    pub seed: u64,
 }
 
 /// What a run showed.
@@ -97,7 +101,8 @@
 }
 
 impl World {
-    fn agent(&self, number: usize) -> SocketAddr {
+    /// Where a balancer's agent of discovery is now.
+    pub fn agent(&self, number: usize) -> SocketAddr {
         self.agents[number][usize::from(self.moved[number].load(Ordering::Relaxed))]
     }
 
@@ -138,7 +143,7 @@
     let ends = world.crowds[0].ends.clone();
     let settles = tokio::spawn(settle(world.clone()));
     let clients = start_clients(&world, options.seed);
-    let planned = plan(options.seed, options.length, &options.only);
+    let planned = plan(options.seed, options.length, &options.only, options.intensity);
     let troubles: Vec<_> = planned
         .iter()
         .map(|&planned| {
@@ -214,6 +219,7 @@
             rate: RATE / HABITS.iter().map(|&(_, count)| count as f64).sum::<f64>(),
             ends: ends.clone(),
             refuses: AtomicBool::new(false),
+            burst: AtomicBool::new(false),
             oracle: oracle.clone(),
         }));
         balancers.push(Mutex::new(balancer));
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -11,12 +11,15 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
 /// New connections come for this long after SIGTERM.
 const STILL_COMING: Duration = Duration::from_millis(350);
 /// A process is held up for this long at a time.
 const HELD_UP: Duration = Duration::from_millis(140);
+/// An idle client comes so often: hundreds in a few seconds.
+const CROWD_PAUSE: Duration = Duration::from_millis(5);
 const HOUR_MS: i64 = 3_600_000;
 /// Suspensions are recorded beside what lists say, under upstream numbers from here.
 pub const SUSPENSIONS: usize = 1 << 20;
@@ -52,6 +55,9 @@
         Trouble::ClockOff => scene.clock_off().await,
         Trouble::Disk => scene.disk().await,
         Trouble::Orders => scene.orders().await,
+        Trouble::Burst => scene.burst().await,
+        Trouble::IdleCrowd => scene.idle_crowd().await,
+        Trouble::Upgrade => scene.upgrade().await,
     }
 }
 
@@ -89,6 +95,41 @@
         }
     }
 
+    async fn burst(&mut self) {
+        let chosen = self.some_balancers();
+        let set = |burst| {
+            for &number in &chosen {
+                self.world.crowds[number].burst.store(burst, Ordering::Relaxed);
+            }
+        };
+        set(true);
+        sleep(self.lasts).await;
+        set(false);
+    }
+
+    async fn idle_crowd(&mut self) {
+        let number = self.any_balancer();
+        let began = Instant::now();
+        let address = self.world.crowds[number].address;
+        let mut idle = Vec::new();
+        while began.elapsed() < self.lasts {
+            if let Ok(stream) = TcpStream::connect(address).await {
+                idle.push(stream);
+            }
+            sleep(CROWD_PAUSE).await;
+        }
+        drop(idle);
+        self.world.oracle.was_crowded(number, began);
+    }
+
+    async fn upgrade(&mut self) {
+        let until = Instant::now() + self.lasts;
+        while Instant::now() < until {
+            let number = self.any_balancer();
+            self.world.upgrade(number).await;
+        }
+    }
+
     async fn reload(&mut self) {
         for number in self.some_balancers() {
             self.world.reload(number).await;
@@ -309,6 +350,15 @@
         self.oracle.was_down(number, ended);
     }
 
+    /// Another process of a balancer begins to serve beside it, and the first one is told to end.
+    pub async fn upgrade(&self, number: usize) {
+        let mut balancer = self.balancers[number].lock().await;
+        let known = self.discovery.snapshot(number);
+        if let Err(error) = balancer.upgrade(self.agent(number), &known, self.seed).await {
+            self.oracle.violated(Rule::Crash, format!("balancer {number} is not upgraded: {error}"));
+        }
+    }
+
     /// A balancer is killed and starts again; `meanwhile` runs in between.
     pub async fn kill(self: Arc<Self>, number: usize, meanwhile: impl FnOnce()) {
         let killed = Instant::now();
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -185,9 +185,18 @@
     }
 }
 
+/// Requests whose id ends so get a large answer.
+pub const LARGE: &str = "-large";
+const LARGE_REPEATS: usize = 10_000;
+
 /// The body of the answer to a request, by which its client knows it.
 pub fn answer_body(id: &str) -> String {
-    format!("served {id}")
+    let body = format!("served {id}");
+    if id.ends_with(LARGE) {
+        body.repeat(LARGE_REPEATS)
+    } else {
+        body
+    }
 }
 
 async fn serve(stream: TcpStream, state: Arc<State>, mut random: StdRng) {
--- a/soak/tests/smoke.rs
+++ b/soak/tests/smoke.rs
@@ -22,7 +22,10 @@
 fn soak(arguments: &[&str]) -> Output {
     let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(arguments.join("-").replace(',', "_"));
     let mut command = Command::new(build());
-    command.args(["--seconds", "5", "--balancers", "4", "--upstreams", "4", "--logs"]).arg(logs).args(arguments);
+    command
+        .args(["--seconds", "5", "--balancers", "4", "--upstreams", "4", "--logs"])
+        .arg(logs)
+        .args(arguments);
     command.output().expect("runs")
 }
 
