Move the reading of request heads and the answers to clients out of the server's file

Change: request_head.rs reads and checks a head, with typed errors in place of texts; responses.rs makes the answers. No change of behaviour; the test of times moved along.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -32,6 +32,8 @@
 mod ops;
 mod orders;
 mod persist;
+mod request_head;
+mod responses;
 mod server;
 mod socket_io;
 mod sockets;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,22 +1,23 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
-use crate::body::{Content, Fault, Paced, Payload, Reply, Upload, BODY_MOST, REQUEST_WAIT, WHOLE_MOST};
+use crate::body::{Fault, Paced, Payload, Reply, Upload, BODY_MOST, REQUEST_WAIT, WHOLE_MOST};
 use crate::clock::to_millis;
 use crate::driver::{Handle, Waiting};
 use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
 use crate::invariants::Guard;
-use crate::message::{Answer, Outgoing, Untaken};
+use crate::message::{Outgoing, Untaken};
 use crate::metrics::{CloseReason, Figures, Outcome, Taken};
+use crate::request_head::RequestHead;
+use crate::responses::{final_answer, plain, refusal, refuse_input};
 use crate::sockets::{is_shortage, Places, Sockets};
 use crate::upstream::{end_to_end, DEADLINE};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use oakflow::{Effect, Millis};
+use oakflow::Millis;
 use oakflow_settings::Deployment;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -60,8 +61,6 @@
 const CROWDED_PAUSE: Duration = Duration::from_millis(10);
 /// When a caller may come again that found as many requests open as may be.
 const FULL_PAUSE: Millis = 500.0;
-/// Longest request id taken.
-const ID_MOST: usize = 256;
 const READY: &str = "/-/ready";
 const SERVICE: &str = "/api";
 
@@ -389,7 +388,9 @@
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let fault = |fault: Fault| refuse_input(fault.status(), &fault.to_string());
-        let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
+        let RequestHead { class, tenant, patience } =
+            RequestHead::read(&head.method, &head.headers, &self.deployment)
+                .map_err(|e| bad(&e.to_string()))?;
         let patience = (patience - to_millis(queued)).max(0.0);
         if body.size_hint().lower() > BODY_MOST {
             return Err(fault(Fault::Large));
@@ -438,40 +439,6 @@
         })?;
         Ok((waiting, Taken::new(&self.figures, class), upload))
     }
-
-    /// Class, tenant and patience of a request, or what is wrong with its head.
-    fn classify(&self, method: &Method, headers: &HeaderMap) -> Result<(usize, usize, Millis), &'static str> {
-        let d = &self.deployment;
-        let one = |name: &str| {
-            let mut all = headers.get_all(name).iter();
-            let value = all.next()?.to_str().ok()?;
-            all.next().is_none().then_some(value)
-        };
-        let id = one("req-id").ok_or("Req-Id is missing")?;
-        if id.is_empty() || id.len() > ID_MOST {
-            return Err("Req-Id is bad");
-        }
-        let kind = one("req-kind").ok_or("Req-Kind is missing")?;
-        let class = d.classes.iter().position(|c| c == kind).ok_or("Req-Kind is unknown")?;
-        let tenant = if d.tenants.is_empty() {
-            0
-        } else {
-            let owner = one("req-owner").ok_or("Req-Owner is missing")?;
-            d.tenants.iter().position(|t| t == owner).ok_or("Req-Owner is unknown")?
-        };
-        let patience = one("req-deadline").ok_or("Req-Deadline is missing")?;
-        let patience = span(patience).ok_or("Req-Deadline is bad")?;
-        let keyed = one("idempotency-key").is_some_and(|k| !k.is_empty());
-        let form = match d.policy.classes[class].effect {
-            Effect::Free => method == Method::GET,
-            Effect::Guarded { .. } => method == Method::POST && keyed,
-            Effect::SingleShot => method == Method::POST && !headers.contains_key("idempotency-key"),
-        };
-        if !form {
-            return Err("the method or Idempotency-Key does not fit the class");
-        }
-        Ok((class, tenant, patience))
-    }
 }
 
 /// One caller's connection, as its task and its requests see it.
@@ -561,74 +528,5 @@
     }
 }
 
-/// A span of time as callers write it: a number and `m` for milliseconds or `u` for microseconds.
-fn span(text: &str) -> Option<Millis> {
-    let text = text.trim();
-    let (number, unit) = match (text.strip_suffix('m'), text.strip_suffix('u')) {
-        (Some(number), _) => (number, 1.0),
-        (_, Some(number)) => (number, 0.001),
-        _ => return None,
-    };
-    let plain = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    let value = plain.then(|| number.parse::<f64>().ok())?? * unit;
-    (0.0..=86_400_000.0).contains(&value).then_some(value)
-}
-
-fn plain(status: StatusCode) -> Response<Reply<Busy>> {
-    let mut response = Response::new(Reply::Whole(Full::default()));
-    *response.status_mut() = status;
-    response
-}
-
-fn refuse_input(status: StatusCode, what: &str) -> Response<Reply<Busy>> {
-    let mut response = Response::new(Reply::Whole(Full::new(Bytes::from(format!("{what}\n")))));
-    *response.status_mut() = status;
-    response
-}
-
-fn refusal(retry_after: Millis) -> Response<Reply<Busy>> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-    if retry_after > 0.0 {
-        // Digits and a point only, so this cannot fail.
-        if let Ok(after) = HeaderValue::try_from(format!("{:.3}", retry_after / 1000.0)) {
-            response.headers_mut().insert(header::RETRY_AFTER, after);
-        }
-    }
-    response
-}
-
-fn final_answer(answer: Answer, taken: Taken, busy: Busy) -> Response<Reply<Busy>> {
-    match answer {
-        Answer::Served { headers, body } => {
-            let body = match body {
-                Content::Whole(body) => {
-                    taken.ends(Outcome::Ok);
-                    Reply::Whole(Full::new(body))
-                }
-                Content::Frames(frames) => Reply::Frames(frames, taken, busy),
-            };
-            let mut response = Response::new(body);
-            *response.headers_mut() = headers;
-            response
-        }
-        Answer::Refused { retry_after } => {
-            taken.ends(Outcome::Shed);
-            refusal(retry_after)
-        }
-        Answer::Unusable(status) => {
-            taken.ends(Outcome::Errors);
-            refuse_input(status, "turned away by the service")
-        }
-        Answer::Unsent(fault) => {
-            taken.ends(Outcome::Errors);
-            refuse_input(fault.status(), &fault.to_string())
-        }
-        Answer::Failed => {
-            taken.ends(Outcome::Errors);
-            plain(StatusCode::BAD_GATEWAY)
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
