--- a/node/tests/upstreams.rs
+++ b/node/tests/upstreams.rs
@@ -1,6 +1,8 @@
 //! Answers of upstreams that can't be trusted: each test stands for one way to mix up or misjudge them.
 mod common;
 use common::*;
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
 /// An attempt that may have run is not repeated for what must not run twice: the caller is told of a failure.
 fn is_a_reset(answer: &str) {
@@ -89,3 +91,30 @@
     assert_eq!(upstream.request().header("req-id"), Some("next"));
     assert_eq!(upstream.further(), 0);
 }
+
+/// An upstream that answers a request twice, some milliseconds apart: the second answer is not the next request's.
+#[test]
+fn a_second_answer_that_comes_late_is_not_the_next_requests() {
+    let upstream = Upstream::start(|m| {
+        let name = m.header("req-id").unwrap_or_default().to_string();
+        if name.ends_with("twice") {
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{name}", name.len());
+            let (word, again) = channel();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(4));
+                word.send(())
+            });
+            return Then::Begin(answer.clone(), again, answer);
+        }
+        std::thread::sleep(Duration::from_millis(30));
+        ok(&name)
+    });
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    for round in 0..10 {
+        for name in [format!("{round}-twice"), format!("{round}-once")] {
+            let answer = client.call(&get(&name, "5000m"));
+            assert_eq!(String::from_utf8_lossy(&answer.body), name, "{}", answer.status());
+        }
+    }
+}
