Use a connection again only once a second answer would have come

Cause: Upstream::take gave out a connection as soon as its answer had been read. A peer without TCP_NODELAY holds the second answer back until the first is acknowledged, 40 ms at the most.

Change: a connection that has brought an answer settles for 10 ms; an attempt waits for one that settles rather than dial, unless that were half of its time; what was read is acknowledged at once.

--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -10,6 +10,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// A connection that has brought an answer is used again after this long at the soonest. Guards against taking a second answer,
+/// which may come some milliseconds behind the first, for that to the next request: once it is there it is seen.
+const SETTLING: Duration = Duration::from_millis(10);
+
 /// One open connection; closed when dropped.
 pub struct Connection {
     /// Sends one request at a time.
@@ -52,6 +56,18 @@
 struct Idle {
     connection: Connection,
     since: Instant,
+    /// From when on it may be used.
+    settled: Instant,
+}
+
+/// What an upstream has for an attempt.
+pub enum Available {
+    /// A connection that can be used now.
+    Connection(Connection),
+    /// One that can be used from then on, if it is still good.
+    From(Instant),
+    /// None.
+    Nothing,
 }
 
 /// One upstream: where it is, and the connections to it that carry nothing now.
@@ -113,24 +129,37 @@
         }
     }
 
-    /// The connection used last, unless it has been idle for `most`: the others then go idle and close, instead of
-    /// all being kept warm by turns.
-    pub fn take(&self, most: Duration) -> Option<Connection> {
+    /// The connection used last of those that can be used now, unless it has been idle for `most`: the others then go idle
+    /// and close, instead of all being kept warm by turns.
+    pub fn take(&self, most: Duration) -> Available {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.pop() {
-            if now - i.since < most && i.connection.is_clean() {
-                return Some(i.connection);
+        idle.retain(|i| now - i.since < most);
+        while let Some(at) = idle.iter().rposition(|i| i.settled <= now) {
+            let i = idle.remove(at);
+            if i.connection.is_clean() {
+                return Available::Connection(i.connection);
             }
         }
-        None
+        idle.iter().map(|i| i.settled).min().map_or(Available::Nothing, Available::From)
+    }
+
+    /// Takes a connection back that has brought an answer and carries no request now.
+    pub fn put_answered(&self, connection: Connection) {
+        connection.socket.acknowledge();
+        self.put(connection, SETTLING);
+    }
+
+    /// Takes a connection that has carried nothing yet.
+    pub fn put_unused(&self, connection: Connection) {
+        self.put(connection, Duration::ZERO);
     }
 
-    /// Takes a connection back that carries no request now. One that may not be used again is closed.
-    pub fn put(&self, connection: Connection) {
+    /// Takes a connection that may be used after `settling`. One that may not be used again is closed.
+    fn put(&self, connection: Connection, settling: Duration) {
         let now = Instant::now();
         if !self.closed(now) && connection.generation == self.generation.get() && connection.is_clean() {
-            self.idle.borrow_mut().push(Idle { connection, since: now });
+            self.idle.borrow_mut().push(Idle { connection, since: now, settled: now + settling });
             self.available.notify_one();
         }
     }
--- a/node/src/connector.rs
+++ b/node/src/connector.rs
@@ -1,5 +1,5 @@
 //! Connections to upstreams: an idle one where there is one, a new one otherwise.
-use crate::connection_pool::{Connection, Upstream};
+use crate::connection_pool::{Available, Connection, Upstream};
 use crate::inbound::{Shared, HEAD_MOST};
 use crate::sockets::{is_shortage, Sockets};
 use hyper::client::conn::http1;
@@ -68,29 +68,34 @@
         self.sockets.exhausted()
     }
 
-    /// An idle connection to the upstream, or else a new one by then: whichever comes first of those that are dialled
-    /// and those that become idle meanwhile. A dial that is not needed or too late goes on, for the next attempt.
+    /// An idle connection to the upstream, also one that can be used in a moment, or else a new one by then: whichever comes
+    /// first of those that are dialled and those that become idle meanwhile. A dial that is not needed or too late goes on,
+    /// for the next attempt.
     pub async fn connect(&self, upstream: &Rc<Upstream>, until: Instant) -> Result<Connected, Ending> {
-        if let Some(connection) = upstream.take(self.idle_limit) {
-            return Ok(Connected::Idle(connection));
-        }
         let until = until.min(Instant::now() + self.dial_timeout);
         let hedge_delay = self.dial_timeout / HEDGES_PER_TIMEOUT;
         let mut hedge_at = Instant::now() + hedge_delay;
         let (results, mut dialled) = mpsc::channel(DIALS_MOST);
-        let mut dials = 1;
-        self.start_dial(upstream, results.clone());
+        let mut dials = 0;
+        // An attempt with hardly any time dials rather than wait.
+        let latest_settled = Instant::now() + until.saturating_duration_since(Instant::now()) / 2;
         loop {
+            let settled = match upstream.take(self.idle_limit) {
+                Available::Connection(connection) => return Ok(Connected::Idle(connection)),
+                Available::From(settled) if settled <= latest_settled => Some(settled),
+                Available::From(_) | Available::Nothing => None,
+            };
+            if dials == 0 && settled.is_none() {
+                dials += 1;
+                self.start_dial(upstream, results.clone());
+            }
             tokio::select! {
                 biased;
                 Some(made) = dialled.recv() => return made.map(Connected::New),
-                () = upstream.available() => {
-                    if let Some(connection) = upstream.take(self.idle_limit) {
-                        return Ok(Connected::Idle(connection));
-                    }
-                }
+                () = upstream.available() => {}
+                () = sleep_until(settled.unwrap_or(until)), if settled.is_some() => {}
                 () = sleep_until(until) => return Err(Ending::ConnectFailed),
-                () = sleep_until(hedge_at), if dials < DIALS_MOST && self.sockets.plenty() => {
+                () = sleep_until(hedge_at), if (1..DIALS_MOST).contains(&dials) && self.sockets.plenty() => {
                     dials += 1;
                     self.start_dial(upstream, results.clone());
                     hedge_at += hedge_delay;
@@ -111,7 +116,7 @@
             };
             if let Err(SendError(Ok(mut unused))) = waiting.send(made).await {
                 if unused.sender.ready().await.is_ok() {
-                    upstream.put(unused);
+                    upstream.put_unused(unused);
                 }
             }
         });
--- a/node/src/connector/tests.rs
+++ b/node/src/connector/tests.rs
@@ -50,7 +50,7 @@
         };
         assert!(!dialling.is_finished(), "the first one's dial is late");
         sleep(Duration::from_millis(10)).await;
-        upstream.put(busy);
+        upstream.put_unused(busy);
         let start = Instant::now();
         let connected = dialling.await.expect("runs");
         assert!(matches!(connected, Ok(Connected::Idle(_))));
@@ -70,7 +70,7 @@
         upstream.replaced();
         listener.admit();
         sleep(LATE).await;
-        assert!(upstream.take(LONG).is_none());
+        assert!(matches!(upstream.take(LONG), Available::Nothing));
     };
     LocalSet::new().run_until(test).await;
 }
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -130,6 +130,12 @@
         Err(io::Error::other(WriteDenied))
     }
 
+    /// Acknowledges at once what has been read: some peers hold a further small write back until then.
+    pub fn acknowledge(&self) {
+        // Where it fails, what is held back comes a little later.
+        let _ = socket2::SockRef::from(&*self.stream.borrow()).set_tcp_quickack(true);
+    }
+
     /// Notes bytes that lie unread, if there are any: they have been there since `since` at the earliest.
     pub fn note_unread(&self, since: Instant) {
         if self.unread.get().is_none() && peek(&self.stream.borrow()).is_ok_and(|count| count > 0) {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -194,7 +194,7 @@
         };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            to.put(conn);
+            to.put_answered(conn);
         }
         (ending, answer)
     }
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -1,6 +1,6 @@
 //! Attempts against real sockets: which connection carries them, and how they end.
 use super::*;
-use crate::connection_pool::Connection;
+use crate::connection_pool::{Available, Connection};
 use crate::metrics::Figures;
 use crate::sockets::Sockets;
 use crate::test_support::get_request;
@@ -46,12 +46,12 @@
                 let mut conn = new_connection(&transport.connector, &upstream, until).await;
                 let (mut peer, _) = listener.accept().expect("accepts");
                 conn.sender.ready().await.expect("it is open");
-                upstream.put(conn);
+                upstream.put_unused(conn);
                 match extra {
                     Some(extra) => peer.write_all(extra).expect("writes"),
                     None => drop(peer.shutdown(std::net::Shutdown::Both)),
                 }
-                let taken = upstream.take(Duration::from_secs(60)).is_some();
+                let taken = matches!(upstream.take(Duration::from_secs(60)), Available::Connection(_));
                 drop(peer);
                 taken
             }
--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -278,6 +278,11 @@
         }
     }
 
+    /// Whether it has a process.
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Whether its process has ended by itself, and how.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -335,6 +335,9 @@
     /// A balancer is told to end, ends, and starts again.
     pub async fn restart(self: Arc<Self>, number: usize) {
         let mut balancer = self.balancers[number].lock().await;
+        if !balancer.runs() {
+            return;
+        }
         let told = Instant::now();
         balancer.signal(Signal::Terminate);
         sleep(STILL_COMING).await;
@@ -353,6 +356,9 @@
     /// Another process of a balancer begins to serve beside it, and the first one is told to end.
     pub async fn upgrade(&self, number: usize) {
         let mut balancer = self.balancers[number].lock().await;
+        if !balancer.runs() {
+            return;
+        }
         let known = self.discovery.snapshot(number);
         if let Err(error) = balancer.upgrade(self.agent(number), &known, self.seed).await {
             self.oracle.violated(Rule::Crash, format!("balancer {number} is not upgraded: {error}"));
