--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -163,3 +163,22 @@
     assert!(refused <= 10, "{refused} of 200 refused");
     assert!(sent_after_a_restart(-3_600_000.0, true) <= 2 * sent_after_a_restart(0.0, true));
 }
+
+/// Where the stated quotas are far above the traffic, a cold upstream that is preferred while unused got a share of the quotas:
+/// 29, 50, 70, 90 calls in its first four seconds, where an even share of the traffic is 37.
+#[test]
+fn a_cold_upstream_gets_no_more_than_an_even_share_of_the_traffic() {
+    let mut settings = fleet(1, 400.0).remove(0).settings;
+    settings.cold_from = 0.3;
+    settings.ramp_time = 9000.0;
+    let mut world = World::new(settings, 1, (1..=4).map(member).collect());
+    world.traffic(5000.0, 150.0, &[0], &|_| Some((Ending::Ok, 5.0)));
+    restart(&mut world);
+    let mut worlds = [world];
+    for second in 1..=4 {
+        let from = worlds[0].now;
+        worlds[0].traffic(1000.0, 150.0, &[0], &|_| Some((Ending::Ok, 5.0)));
+        let sent = to_the_cold_one(&worlds, from);
+        assert!(sent <= 45, "{sent} in second {second}, where an even share is 37");
+    }
+}
