Bound what a cold upstream gets by the replica's traffic, not by the quotas alone

Cause: the even rate that slow start's tokens grow by came from the stated quotas in the first tier, and the pick prefers cold upstreams that hold no call: with traffic well under the quotas they got more than warm ones (67 calls a second, 37 is even).

Change: the lesser of the quotas and what the replica has admitted of late counts, as it does below the first tier.

Measured: the failing test of before passes.

--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -112,7 +112,8 @@
         let most_candidates = counts.fold(1, usize::max) as f64;
         let ready_share = endpoints.ready as f64 / endpoints.ready_max.max(1) as f64;
         let Admission { capacity, load, .. } = &self.admission;
-        let carried = if capacity.first_tier { capacity.quota * ready_share } else { capacity.admitted_mean };
+        let stated = if capacity.first_tier { capacity.quota * ready_share } else { f64::INFINITY };
+        let carried = stated.min(capacity.admitted_mean);
         let even_rate = carried / CYCLE / most_candidates;
         let usual = PickRequest { now, class, even_rate, avoid, last_resort: false, repeat };
         let last_resort = PickRequest { avoid: None, last_resort: true, ..usual };
