--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -219,6 +219,16 @@
         state.listing(None)
     }
 
+    /// The whole list, as a further process of this balancer is given it while the first one goes by what it knows.
+    pub fn snapshot_beside(&self, balancer: usize) -> String {
+        let state = self.state();
+        let active = state.entries.iter().enumerate().filter(|(_, entry)| entry.state == "active");
+        for (upstream, _) in active {
+            self.oracle.told(balancer, upstream, Listed::Active, Instant::now());
+        }
+        state.listing(None)
+    }
+
     /// Records what counts as told by now though it may not have arrived; to be called often.
     pub fn settle(&self) {
         let now = Instant::now();
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -176,7 +176,7 @@
     pub drain_grace: Duration,
     /// Upstreams discard repeats for this long.
     pub repeat_window: Duration,
-    /// Calls that an upstream in slow start may get in [`Limits::fall`], at an age.
+    /// Calls that an upstream in slow start may get in [`SlowStart::fall`], at an age.
     pub slow_start: SlowStart,
 }
 
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -359,7 +359,7 @@
         if !balancer.runs() {
             return;
         }
-        let known = self.discovery.snapshot(number);
+        let known = self.discovery.snapshot_beside(number);
         if let Err(error) = balancer.upgrade(self.agent(number), &known, self.seed).await {
             self.oracle.violated(Rule::Crash, format!("balancer {number} is not upgraded: {error}"));
         }
