--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -313,6 +313,9 @@
             (falls(state.malformed), falls(state.ends), falls(state.pieces), falls(state.whole))
         };
         let news = since.is_none() || self.newer(since.unwrap_or(0), wait, began).await;
+        if self.mode == Mode::Push {
+            self.reachable_again().await;
+        }
         let condition = {
             let state = self.state();
             if since.is_some() && state.silent_before.is_some_and(|before| began < before) {
@@ -369,6 +372,16 @@
         }
     }
 
+    /// Waits while discovery is down: an agent is silent until then, and answers what waits for it as it gets the news.
+    async fn reachable_again(&self) {
+        let mut versions = self.version.subscribe();
+        while !self.state().condition.is_reachable() {
+            if versions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits for something newer than this version; whether there is.
     async fn newer(&self, since: u64, wait: Duration, began: Instant) -> bool {
         let mut versions = self.version.subscribe();
