--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -1,10 +1,11 @@
 //! When endpoints started, on this replica's clock, which may be off from the one that discovery reports by.
 use super::*;
 
-/// A start that the list reports for the first time while this replica follows it is at most this long ago: a clock that says
-/// more is ahead. Within this time slow start's margin covers the difference.
+/// A start that the list reports for the first time while this replica follows it is at most this long ago: a
+/// clock that says more is ahead. Within this time slow start's margin covers the difference.
 const REPORT_DELAY: Millis = 3000.0;
-/// What is known of endpoints that are gone is kept for this long: one that comes back unchanged has not started anew.
+/// What is known of endpoints that are gone is kept for this long: one that comes back unchanged has not
+/// started anew.
 const KEPT: Millis = 600_000.0;
 
 #[derive(Clone, Copy)]
--- a/src/policy/subscription.rs
+++ b/src/policy/subscription.rs
@@ -1,14 +1,15 @@
-//! Keeping the list of endpoints current where it must be asked for: when a call that failed is repeated, and whether
-//! what is known is recent.
+//! Keeping the list of endpoints current where it must be asked for: when a call that failed is repeated, and
+//! whether what is known is recent.
 use super::*;
 
 /// Pause after a first call that failed, doubling up to a third of `ask_within`.
 const RETRY_PAUSE: Millis = 400.0;
-/// Pause after a first call that was refused, and the most, as a multiple of `ask_within`: hundreds of replicas that lost
-/// discovery together come back spread over what it needs to serve them all, while their old lists serve them.
+/// Pause after a first call that was refused, and the most, as a multiple of `ask_within`: hundreds of
+/// replicas that lost discovery together come back spread over what it needs to serve them all, while their
+/// old lists serve them.
 const REFUSED_PAUSE: Millis = 2000.0;
-/// The same where the list is stale, as after a restart: many come back together then, each with much to be told, and their next
-/// calls must not fill the queue again.
+/// The same where the list is stale, as after a restart: many come back together then, each with much to be
+/// told, and their next calls must not fill the queue again.
 const REFUSED_PAUSE_STALE: Millis = 3500.0;
 const REFUSED_PAUSE_SHARE: f64 = 1.5;
 /// Least share of a pause: of one after a refusal, and of any other.
