Give pushed calls for the whole list half a second again, and pass a call its wait

Calls for the whole list had got the time of a first watch, 1.5 s instead of 0.5 s where lists are pushed, which nothing asked for; and how long a call waits was kept as state of the client.

Change: such calls have a time of their own again (2.8 s where lists are asked for, as before this change); one function says what the next call gets.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -36,8 +36,9 @@
     /// The wait of a call that begins a watch: news that came before is answered at once anyway.
     first_wait: Duration,
     answer: Duration,
-    /// A call that begins a watch or wants the whole list gets this long.
+    /// A call that begins a watch gets this long, and one that wants the whole list.
     first_answer: Duration,
+    whole: Duration,
     /// And so does the first call at a new address.
     moved_answer: Duration,
 }
@@ -49,6 +50,7 @@
         first_wait: Duration::from_secs(1),
         answer: Duration::from_millis(500),
         first_answer: Duration::from_millis(1500),
+        whole: Duration::from_millis(500),
         moved_answer: Duration::from_millis(500),
     };
     /// Discovery that must be asked is one queue for all and works in turn: a call that begins a watch waits there, and
@@ -60,8 +62,19 @@
         first_wait: Duration::from_millis(50),
         answer: Duration::from_secs(1),
         first_answer: Duration::from_millis(2800),
+        whole: Duration::from_millis(2800),
         moved_answer: Duration::from_millis(2200),
     };
+
+    /// How long the next call may wait for news, and how long it gets in all: the next of a standing watch, or the first
+    /// of one, or one for the whole list where no version is `known`.
+    fn of_next(&self, standing: bool, known: bool) -> (Duration, Duration) {
+        match (standing, known) {
+            (_, false) => (Duration::ZERO, self.whole),
+            (true, true) => (self.wait, self.wait + self.answer),
+            (false, true) => (self.first_wait, self.first_answer),
+        }
+    }
 }
 
 /// A connection to discovery that is not up after this long has failed: it must not use up a call's time.
@@ -157,8 +170,6 @@
     patience: Patience,
     /// Before a pushed list is asked for again.
     pause: Duration,
-    /// How long the next call may wait for news.
-    wait: Duration,
     link: Option<Link>,
     version: Option<u64>,
     /// What was wrong with the last call.
@@ -187,7 +198,6 @@
             pushed,
             patience: if pushed { Patience::PUSHED } else { Patience::ASKED },
             pause: (drain_grace / 3).clamp(PUSHED_PAUSE.0, PUSHED_PAUSE.1),
-            wait: Duration::ZERO,
             link: None,
             version,
             error: None,
@@ -232,14 +242,8 @@
                 consumer.subscribed().await;
             }
             let error = loop {
-                let goes_on = answered && self.version.is_some();
-                let patience = if goes_on {
-                    self.patience.wait + self.patience.answer
-                } else {
-                    self.patience.first_answer
-                };
-                self.wait = if goes_on { self.patience.wait } else { self.patience.first_wait };
-                match self.call(patience).await {
+                let (wait, patience) = self.patience.of_next(answered, self.version.is_some());
+                match self.call(wait, patience).await {
                     Ok(update) => {
                         if update.full || !update.endpoints.is_empty() {
                             consumer.apply(&update);
@@ -266,7 +270,8 @@
         consumer.moved();
         let mut pause = MOVED_PAUSE;
         loop {
-            match self.call(self.patience.moved_answer).await {
+            // The whole list is wanted there, for which no call waits.
+            match self.call(Duration::ZERO, self.patience.moved_answer).await {
                 Ok(update) => {
                     consumer.apply(&update);
                     return true;
@@ -294,12 +299,12 @@
         }
     }
 
-    /// One call. An answer that is malformed is an error and changes nothing, and so is what does not follow what is
+    /// One call, which may `wait` for news and gets `patience` in all. An answer that is malformed is an error and changes nothing, and so is what does not follow what is
     /// known: discovery may have begun anew, but an answer may also be stale. The next call asks for the whole list,
     /// which holds whatever its version.
-    async fn call(&mut self, patience: Duration) -> Result<EndpointUpdate, CallError> {
+    async fn call(&mut self, wait: Duration, patience: Duration) -> Result<EndpointUpdate, CallError> {
         let began = Instant::now();
-        let fetched = timeout(patience, self.fetch()).await.unwrap_or(Err(CallError::NoAnswer));
+        let fetched = timeout(patience, self.fetch(wait)).await.unwrap_or(Err(CallError::NoAnswer));
         let took_ms = began.elapsed().as_millis() as u64;
         match &fetched {
             Ok(update) => tracing::debug!(
@@ -322,9 +327,9 @@
         Ok(update)
     }
 
-    async fn fetch(&mut self) -> Result<EndpointUpdate, CallError> {
+    async fn fetch(&mut self, wait: Duration) -> Result<EndpointUpdate, CallError> {
         let path = match self.version {
-            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", self.wait.as_millis()),
+            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", wait.as_millis()),
             None => "/api/targets".to_string(),
         };
         // Guards against a connection that discovery closed after its last answer: that is no failed call.
