--- a/faultshim/src/lib.rs
+++ b/faultshim/src/lib.rs
@@ -32,23 +32,21 @@
     errors[(random() >> 16) as usize % errors.len()]
 }
 
-fn is_file(fd: c_int) -> bool {
-    if fd <= libc::STDERR_FILENO {
-        return false;
-    }
+/// Whether a descriptor is of this kind, one of `S_IFMT`.
+fn is_of_kind(fd: c_int, kind: mode_t) -> bool {
     // SAFETY: `fstat` fills the struct, whose bytes may all be zero.
     unsafe {
         let mut stat: libc::stat = std::mem::zeroed();
-        libc::syscall(libc::SYS_fstat, fd, &mut stat) == 0 && stat.st_mode & libc::S_IFMT == libc::S_IFREG
+        libc::syscall(libc::SYS_fstat, fd, &mut stat) == 0 && stat.st_mode & libc::S_IFMT == kind
     }
 }
 
+fn is_file(fd: c_int) -> bool {
+    fd > libc::STDERR_FILENO && is_of_kind(fd, libc::S_IFREG)
+}
+
 fn is_socket(fd: c_int) -> bool {
-    // SAFETY: as above.
-    unsafe {
-        let mut stat: libc::stat = std::mem::zeroed();
-        libc::syscall(libc::SYS_fstat, fd, &mut stat) == 0 && stat.st_mode & libc::S_IFMT == libc::S_IFSOCK
-    }
+    is_of_kind(fd, libc::S_IFSOCK)
 }
 
 /// Descriptors below this are told apart by who opened their connection.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Modules depend on one another in one direction only: `endpoints`, `body` and `message` hold what is exchanged;
 //! `connection_pool`, `connector`, `upstream` and `dispatch` carry attempts out; `endpoint_table` keeps the upstreams that are known; `driver` owns the
-//! decision module and uses these; `discovery` knows only the consumer of its updates; `control` joins them; `server`,
+//! decision module and uses these, and asks `invariants` before an attempt starts, is written or is answered; `discovery` knows only the consumer of its updates; `control` joins them; `server`,
 //! `ops` and `program` come last.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
