Remember that an upstream sends surplus responses, and use its connections once

What clients saw: where an upstream sent a response twice, the next request on that connection got the second copy: another client's data, with status 200.

Cause: a connection rested 10 ms after a response, which a busy machine exceeds, and unread bytes closed that one connection only. Nothing was learned of the upstream, and hyper's error on an idle connection that was one response behind was dropped.

Change: such bytes are a fault of the upstream. The state is in the metrics and the log.

Test changed: repeats_a_request_whose_idle_connection_was_stale lets the connection rest for a second before the second request, since a young one is not surely reused. The list of metrics gains two lines.

--- a/balancer/src/admin/server.rs
+++ b/balancer/src/admin/server.rs
@@ -139,9 +139,8 @@
     }
 
     fn metrics(&self) -> AdminResponse {
-        let active = self.driver.active_requests();
-        let endpoints = self.driver.endpoint_counts();
-        AdminResponse::Metrics(self.metrics.render(active, endpoints))
+        let gauges = self.driver.gauges();
+        AdminResponse::Metrics(self.metrics.render(&gauges))
     }
 
     async fn pause(&self) -> Result<AdminResponse, AdminError> {
--- a/balancer/src/control/driver.rs
+++ b/balancer/src/control/driver.rs
@@ -4,6 +4,7 @@
 //! timers, and the ids of requests and attempts. It decides nothing.
 use crate::control::driver_state::DriverState;
 use crate::discovery::endpoints::{upstream_id, EndpointUpdate};
+use crate::telemetry::metrics::Gauges;
 use balancer_core::{EndpointCounts, EndpointEvent, Event, Millis};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -115,6 +116,15 @@
         });
     }
 
+    /// The present values that the metrics show.
+    pub fn gauges(&self) -> Gauges {
+        Gauges {
+            active_requests: self.active_requests(),
+            endpoints: self.endpoint_counts(),
+            single_use_upstreams: self.0.state.borrow().single_use_upstreams(),
+        }
+    }
+
     /// How many upstreams are listed, and how many of them requests avoid now.
     pub fn endpoint_counts(&self) -> EndpointCounts {
         self.0.state.borrow().endpoint_counts()
--- a/balancer/src/control/driver_state/endpoints.rs
+++ b/balancer/src/control/driver_state/endpoints.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// How many upstreams have connections that carry one request each.
+    pub fn single_use_upstreams(&self) -> usize {
+        self.endpoints.single_use_count()
+    }
+
     /// Closes the idle connections of an endpoint.
     pub fn close_idle_connections(&self, id: UpstreamId) {
         if let Some(upstream) = self.endpoints.upstream(id) {
--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -27,6 +27,17 @@
     Complete,
 }
 
+/// What an open socket holds unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadState {
+    /// The connection is open, and nothing is unread.
+    Nothing,
+    /// Bytes are unread.
+    Bytes,
+    /// The connection has ended.
+    Closed,
+}
+
 /// Decides whether the next message may be written; called once, at its first byte.
 pub type WritePermit = Box<dyn FnOnce() -> bool>;
 
@@ -103,11 +114,20 @@
         self.write_progress.clone()
     }
 
-    /// Whether the socket is open and has no unread bytes. Asks the system, because the runtime
-    /// learns of bytes and of the end only when it next polls.
+    /// What the socket holds unread. Asks the system, because the runtime learns of bytes and of
+    /// the end only when it next polls.
+    pub fn unread_state(&self) -> UnreadState {
+        match peek_byte(&self.stream.borrow()) {
+            Ok(0) => UnreadState::Closed,
+            Ok(_) => UnreadState::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnreadState::Nothing,
+            Err(_) => UnreadState::Closed,
+        }
+    }
+
+    /// Whether the socket is open and has no unread bytes.
     pub fn is_open_and_drained(&self) -> bool {
-        peek_byte(&self.stream.borrow())
-            .is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        self.unread_state() == UnreadState::Nothing
     }
 
     /// Whether the peer has closed, reset or half-closed the connection, even if bytes before the
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one upstream once, and reads its response.
 use crate::body::body_error::BodyError;
 use crate::body::limits::MAX_BODY_BYTES;
-use crate::body::request_body::AttemptBody;
+use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::body::response_body::{response_stream, ResponseContent};
 use crate::invariants::{Guard, WriteConditions};
 use crate::net::shared_stream::{SharedStream, WriteProgress};
@@ -13,6 +13,7 @@
     has_unambiguous_end, outcome_of_read_error, outcome_of_response,
 };
 use crate::outbound::response_relay::{buffer_body, declares_large_body, BufferedBody, Relay};
+use crate::outbound::reuse_lease::ReuseLease;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -146,6 +147,7 @@
 /// A request that was written, and the head of its response.
 struct Exchange {
     connection: Connection,
+    lease: ReuseLease,
     response: Response<Incoming>,
 }
 
@@ -174,6 +176,7 @@
             origin,
         } = acquired;
         let connected_at = Instant::now();
+        let lease = ReuseLease::new(&self.upstream, &connection);
         self.check_write_allowed()?;
         let write_denied = self.deny_late_first_byte(&connection.socket);
         let progress = connection.socket.write_progress();
@@ -185,23 +188,50 @@
             () = self.request.body.stalled() => {
                 return Err(AttemptOutcome::ConnectFailed.into());
             }
+            () = lease.revoked() => {
+                // Without its last byte the request has not run, and may use another connection.
+                return match progress.get() {
+                    WriteProgress::Complete => Err(AttemptOutcome::Reset.into()),
+                    WriteProgress::Partial | WriteProgress::HandedOver => Ok(None),
+                };
+            }
         };
         if let Some(error) = self.request.body.error() {
             return Err(ExchangeError::RequestBody(error));
         }
         match sent {
+            Ok(response) if self.is_surplus(&lease, progress.get(), &response) => {
+                connection.surplus_reporter().report();
+                Ok(None)
+            }
             Ok(response) => Ok(Some(Exchange {
                 connection,
+                lease,
                 response,
             })),
             Err(_) if write_denied.get() => Err(AttemptOutcome::NotSent.into()),
             Err(error) => {
+                connection.surplus_reporter().report_if_cause(error.error());
                 require_stale_connection(error, origin, progress.get())?;
                 Ok(None)
             }
         }
     }
 
+    /// Whether a response is an earlier request's: it arrived before the body was written, which is
+    /// held back on a connection that was idle, so no upstream can have served this request.
+    fn is_surplus(
+        &self,
+        lease: &ReuseLease,
+        progress: WriteProgress,
+        response: &Response<Incoming>,
+    ) -> bool {
+        lease.carried_earlier_request()
+            && progress == WriteProgress::Partial
+            && matches!(self.request.body, RequestBody::Buffered(_))
+            && outcome_of_response(response) == AttemptOutcome::Success
+    }
+
     /// The write conditions may have changed while the attempt connected.
     fn check_write_allowed(&self) -> Result<(), AttemptOutcome> {
         let conditions = write_conditions(&self.upstream, &self.request, self.deadline, false);
@@ -264,6 +294,7 @@
     ) -> Result<AttemptResult, AttemptOutcome> {
         let Exchange {
             connection,
+            lease,
             response,
         } = exchange;
         let declared_length = response.body().size_hint().exact();
@@ -273,7 +304,11 @@
         }
         let outcome = outcome_of_response(&response);
         let (head, mut body) = response.into_parts();
-        let response = match buffer_body(&mut body, declared_length).await? {
+        let buffered = buffer_body(&mut body, declared_length).await?;
+        if lease.is_revoked() {
+            return Err(AttemptOutcome::Reset);
+        }
+        let response = match buffered {
             BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
             BufferedBody::Partial(buffered) if outcome == AttemptOutcome::Success => {
                 let relay = self.start_relay(head, body, declared_length, on_response_started);
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -10,6 +10,9 @@
 use std::net::TcpListener;
 use tokio::task::LocalSet;
 
+/// Longer than a connection rests before it is reused.
+const REST: Duration = Duration::from_secs(1);
+
 fn connector(sockets: DescriptorBudget) -> Connector {
     Connector::new(
         Duration::from_secs(5),
@@ -178,7 +181,7 @@
 
 /// Guards against losing a non-idempotent request to a connection that went stale while it was
 /// idle: the reset arrives for the request's head, and it has not run. The check here is too long
-/// to end by itself.
+/// to end by itself. The connection rests first, as a young one is not reused while others open.
 #[test]
 fn repeats_a_request_whose_idle_connection_was_stale() {
     run_test(async {
@@ -204,6 +207,7 @@
                 result.response,
                 Some(FinalResponse::Served { .. })
             ));
+            tokio::time::sleep(REST).await;
         }
         let stale = server.join().expect("the upstream");
         assert!(
--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -1,6 +1,8 @@
 //! One upstream and its pool of idle connections.
 use crate::body::request_body::AttemptBody;
-use crate::net::shared_stream::SharedStream;
+use crate::net::shared_stream::{SharedStream, UnreadState};
+use crate::outbound::surplus_history::SurplusHistory;
+use crate::outbound::surplus_reporter::SurplusReporter;
 use hyper::client::conn::http1;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,10 +12,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Time between a response and the next request on its connection. An upstream's surplus second
-/// response, which may follow some milliseconds later, is then detected as unread data and not read
-/// as the response to the next request.
-const REUSE_DELAY: Duration = Duration::from_millis(10);
+/// Connections that have been idle for this long are preferred: the longer a connection rests, the
+/// surer it is that no surplus data follows its last response.
+const PREFERRED_IDLE_TIME: Duration = Duration::from_secs(1);
+/// How long a connection that may not be used again stays open, to observe whether surplus data
+/// still follows the upstream's responses.
+const OBSERVATION_TIME: Duration = Duration::from_secs(1);
 
 /// One open connection; closed when dropped.
 pub struct Connection {
@@ -23,8 +27,13 @@
     pub socket: SharedStream,
     /// The upstream's generation for which it was opened.
     generation: u64,
+    /// Whether it has carried a request.
+    has_carried_request: bool,
     /// Its task, which reads and writes.
     task: AbortHandle,
+    surplus_reporter: SurplusReporter,
+    /// Counts the open connections to its upstream.
+    open_connections: Rc<Cell<usize>>,
     /// Its share of the process's descriptors.
     _permit: OwnedSemaphorePermit,
 }
@@ -32,39 +41,89 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        self.open_connections.set(self.open_connections.get() - 1);
     }
 }
 
 impl Connection {
-    /// An open connection: `task` serves it, `permit` is its share of the process's descriptors.
+    /// An open connection to `upstream`: `task` serves it, `permit` is its share of the process's
+    /// descriptors.
     pub fn new(
+        upstream: &Upstream,
         sender: http1::SendRequest<AttemptBody>,
         socket: SharedStream,
         generation: u64,
         task: AbortHandle,
+        surplus_reporter: SurplusReporter,
         permit: OwnedSemaphorePermit,
     ) -> Connection {
+        let open_connections = upstream.open_connections.clone();
+        open_connections.set(open_connections.get() + 1);
         Connection {
             sender,
             socket,
             generation,
+            has_carried_request: false,
             task,
+            surplus_reporter,
+            open_connections,
             _permit: permit,
         }
     }
 
+    /// Whether it has carried a request.
+    pub fn has_carried_request(&self) -> bool {
+        self.has_carried_request
+    }
+
+    /// Reports surplus data of its upstream.
+    pub fn surplus_reporter(&self) -> &SurplusReporter {
+        &self.surplus_reporter
+    }
+
     /// Whether the connection can carry a request: the other side has not closed it, and there are
-    /// no unread bytes that would be taken for the next response.
-    fn is_reusable(&self) -> bool {
-        self.sender.is_ready() && self.socket.is_open_and_drained()
+    /// no unread bytes that would be taken for the next response. Reports such bytes.
+    fn check_reusable(&self) -> bool {
+        match self.socket.unread_state() {
+            UnreadState::Nothing => self.sender.is_ready(),
+            UnreadState::Bytes => {
+                self.surplus_reporter.report();
+                false
+            }
+            UnreadState::Closed => false,
+        }
     }
 }
 
 struct IdleConnection {
     connection: Connection,
     idle_since: Instant,
-    /// It may carry a request from then on.
-    reusable_at: Instant,
+    /// Whether it carries no further request and is only observed.
+    is_observed_only: bool,
+}
+
+impl IdleConnection {
+    /// When it may carry a request, at least `reuse_delay` after its last response.
+    fn reusable_at(&self, reuse_delay: Duration) -> Option<Instant> {
+        if self.is_observed_only {
+            return None;
+        }
+        let delay = if self.connection.has_carried_request {
+            reuse_delay
+        } else {
+            Duration::ZERO
+        };
+        Some(self.idle_since + delay)
+    }
+
+    fn is_expired(&self, now: Instant, idle_limit: Duration) -> bool {
+        let limit = if self.is_observed_only {
+            idle_limit.min(OBSERVATION_TIME)
+        } else {
+            idle_limit
+        };
+        now - self.idle_since >= limit
+    }
 }
 
 /// What the pool has for an attempt.
@@ -86,6 +145,9 @@
     /// Counts the processes behind the address.
     generation: Cell<u64>,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Idle connections, and those that carry a request.
+    open_connections: Rc<Cell<usize>>,
+    surplus: SurplusHistory,
     /// Wakes an attempt that waits for a connection when one becomes idle.
     idle_added: Notify,
 }
@@ -98,6 +160,8 @@
             write_deadline: Cell::new(None),
             generation: Cell::new(0),
             idle: RefCell::default(),
+            open_connections: Rc::default(),
+            surplus: SurplusHistory::default(),
             idle_added: Notify::new(),
         })
     }
@@ -141,6 +205,18 @@
             .is_some_and(|deadline| now >= deadline)
     }
 
+    /// What is known of its surplus data.
+    pub fn surplus(&self) -> &SurplusHistory {
+        &self.surplus
+    }
+
+    /// Surplus data was detected on one of its connections: none of the idle ones is used again.
+    /// Returns the period for which connections carry one request each, if it begins now.
+    pub fn record_surplus(&self, now: Instant) -> Option<Duration> {
+        self.close_idle();
+        self.surplus.record(now)
+    }
+
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
@@ -150,7 +226,7 @@
     /// closed.
     pub fn close_expired(&self, now: Instant, idle_limit: Duration) {
         self.idle.borrow_mut().retain(|idle| {
-            !idle.connection.sender.is_closed() && now - idle.idle_since < idle_limit
+            !idle.connection.sender.is_closed() && !idle.is_expired(now, idle_limit)
         });
     }
 
@@ -167,47 +243,82 @@
         }
     }
 
-    /// Takes the most recently used connection that is ready and has been idle for less than
-    /// `idle_limit`. The others stay idle and expire, instead of all being kept open in turn.
+    /// Takes a connection that is ready and has been idle for less than `idle_limit`.
     pub fn take_idle(&self, idle_limit: Duration) -> PooledConnection {
         let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| now - idle.idle_since < idle_limit);
-        while let Some(position) = idle.iter().rposition(|idle| idle.reusable_at <= now) {
-            let candidate = idle.remove(position);
-            if candidate.connection.is_reusable() {
-                return PooledConnection::Ready(candidate.connection);
+        self.idle
+            .borrow_mut()
+            .retain(|idle| !idle.is_expired(now, idle_limit));
+        while let Some(connection) = self.remove_best_idle(now) {
+            if connection.check_reusable() {
+                if connection.has_carried_request {
+                    self.surplus.record_reuse();
+                }
+                return PooledConnection::Ready(connection);
             }
         }
-        idle.iter()
-            .map(|idle| idle.reusable_at)
+        let reuse_delay = self.surplus.reuse_delay(self.has_one_connection());
+        self.idle
+            .borrow()
+            .iter()
+            .filter_map(|idle| idle.reusable_at(reuse_delay))
             .min()
             .map_or(PooledConnection::None, PooledConnection::ReadyAt)
     }
 
-    /// Returns a connection after a complete response.
-    pub fn return_after_response(&self, connection: Connection) {
+    /// Whether one connection to it is open, idle or in use.
+    pub fn has_one_connection(&self) -> bool {
+        self.open_connections.get() == 1
+    }
+
+    /// Removes the most recently used connection that is preferred; the others stay idle and
+    /// expire, instead of all being kept open in turn. Without one, removes the longest idle
+    /// connection that may be used.
+    fn remove_best_idle(&self, now: Instant) -> Option<Connection> {
+        let reuse_delay = self.surplus.reuse_delay(self.has_one_connection());
+        let mut idle = self.idle.borrow_mut();
+        let is_rested = |idle: &IdleConnection, delay: Duration| {
+            idle.reusable_at(delay).is_some_and(|at| at <= now)
+        };
+        let position = idle
+            .iter()
+            .rposition(|idle| is_rested(idle, PREFERRED_IDLE_TIME.max(reuse_delay)))
+            .or_else(|| idle.iter().position(|idle| is_rested(idle, reuse_delay)))?;
+        Some(idle.remove(position).connection)
+    }
+
+    /// Returns a connection after a complete response. Where connections carry one request each,
+    /// one of them stays open for observation.
+    pub fn return_after_response(&self, mut connection: Connection) {
         connection.socket.acknowledge_received_data();
-        self.add_idle(connection, REUSE_DELAY);
+        connection.has_carried_request = true;
+        let is_single_use = self.surplus.is_single_use(Instant::now());
+        if !(is_single_use && self.is_observing()) {
+            self.add_idle(connection, is_single_use);
+        }
+    }
+
+    /// Whether an idle connection is open for observation only.
+    fn is_observing(&self) -> bool {
+        self.idle.borrow().iter().any(|idle| idle.is_observed_only)
     }
 
     /// Adds a connection that has not carried a request since it became available.
     pub fn add_unused(&self, connection: Connection) {
-        self.add_idle(connection, Duration::ZERO);
+        self.add_idle(connection, false);
     }
 
-    /// Adds a connection that may be used after `reuse_delay`. Closes one that may not be used
-    /// again.
-    fn add_idle(&self, connection: Connection, reuse_delay: Duration) {
+    /// Adds an idle connection. Closes one that may not be used again.
+    fn add_idle(&self, connection: Connection, is_observed_only: bool) {
         let now = Instant::now();
         let is_current = connection.generation == self.generation.get();
-        if self.is_closed_for_writes(now) || !is_current || !connection.is_reusable() {
+        if self.is_closed_for_writes(now) || !is_current || !connection.check_reusable() {
             return;
         }
         self.idle.borrow_mut().push(IdleConnection {
             connection,
             idle_since: now,
-            reusable_at: now + reuse_delay,
+            is_observed_only,
         });
         self.idle_added.notify_one();
     }
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -2,10 +2,11 @@
 use crate::net::descriptor_budget::{is_resource_shortage, DescriptorBudget};
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use crate::outbound::connection_pool::{Connection, PooledConnection, Upstream};
+use crate::outbound::surplus_reporter::SurplusReporter;
+use crate::telemetry::upstream_counts::UpstreamCounts;
 use balancer_core::AttemptOutcome;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,18 +55,17 @@
     /// Connections are closed after being idle for this long.
     idle_limit: Duration,
     sockets: DescriptorBudget,
-    /// Counts the requests that are written completely.
-    requests_written: Rc<Cell<u64>>,
+    counts: Rc<UpstreamCounts>,
 }
 
 impl Connector {
-    /// Upstreams close connections that are idle for `upstream_idle_timeout`; `requests_written`
-    /// counts the requests that are written completely.
+    /// Upstreams close connections that are idle for `upstream_idle_timeout`. The connections
+    /// update `counts`.
     pub fn new(
         dial_timeout: Duration,
         upstream_idle_timeout: Duration,
         sockets: DescriptorBudget,
-        requests_written: Rc<Cell<u64>>,
+        counts: Rc<UpstreamCounts>,
     ) -> Self {
         let idle_limit = upstream_idle_timeout
             .saturating_sub(IDLE_MARGIN)
@@ -74,7 +74,7 @@
             dial_timeout,
             idle_limit,
             sockets,
-            requests_written,
+            counts,
         }
     }
 
@@ -98,8 +98,7 @@
     ) -> Result<AcquiredConnection, AttemptOutcome> {
         let deadline = deadline.min(Instant::now() + self.dial_timeout);
         let mut dials = Dials::new(self, upstream);
-        // An attempt with little time left dials rather than wait for an idle connection to become
-        // reusable.
+        // An attempt with little time left does not wait for an idle connection to become reusable.
         let latest_reuse_at =
             Instant::now() + deadline.saturating_duration_since(Instant::now()) / 2;
         loop {
@@ -113,17 +112,22 @@
                 PooledConnection::ReadyAt(at) if at <= latest_reuse_at => Some(at),
                 PooledConnection::ReadyAt(_) | PooledConnection::None => None,
             };
-            if dials.started == 0 && reusable_at.is_none() {
+            match dials.failure {
+                Some(failure) if reusable_at.is_none() => return Err(failure),
+                _ => {}
+            }
+            if dials.started == 0 && !(reusable_at.is_some() && self.waits_for_idle(upstream)) {
                 dials.start();
             }
             tokio::select! {
                 biased;
-                Some(dialled) = dials.receiver.recv() => {
-                    return dialled.map(|connection| AcquiredConnection {
+                Some(dialled) = dials.receiver.recv() => match dialled {
+                    Ok(connection) => return Ok(AcquiredConnection {
                         connection,
                         origin: ConnectionOrigin::New,
-                    })
-                }
+                    }),
+                    Err(failure) => dials.failure = Some(failure),
+                },
                 () = upstream.idle_connection_added() => {}
                 () = sleep_until(reusable_at.unwrap_or(deadline)), if reusable_at.is_some() => {}
                 () = sleep_until(deadline) => return Err(AttemptOutcome::ConnectFailed),
@@ -132,6 +136,12 @@
         }
     }
 
+    /// Whether an attempt waits for an idle connection to become reusable rather than open one more.
+    fn waits_for_idle(&self, upstream: &Upstream) -> bool {
+        let may_wait = upstream.has_one_connection() || !self.sockets.is_plentiful();
+        may_wait && !upstream.surplus().has_detected()
+    }
+
     /// Starts a dial that continues without its attempt: a connection that nothing waits for any
     /// more joins the pool.
     fn start_dial(&self, upstream: &Rc<Upstream>, results: mpsc::Sender<DialResult>) {
@@ -151,7 +161,7 @@
         });
     }
 
-    async fn dial(&self, upstream: &Upstream, deadline: Instant) -> DialResult {
+    async fn dial(&self, upstream: &Rc<Upstream>, deadline: Instant) -> DialResult {
         // A shortage of descriptors here says nothing about the upstream.
         let permit = self
             .sockets
@@ -159,21 +169,27 @@
             .ok_or(AttemptOutcome::NotSent)?;
         let generation = upstream.generation();
         let stream = open_stream(upstream, deadline).await?;
-        let socket = SharedStream::new(stream, self.requests_written.clone());
+        let socket = SharedStream::new(stream, self.counts.requests_written());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(socket.clone()))
             .await
             .map_err(|_| AttemptOutcome::ConnectFailed)?;
+        let surplus_reporter = SurplusReporter::new(upstream, self.counts.clone());
+        let reporter = surplus_reporter.clone();
         let task = tokio::task::spawn_local(async move {
-            // The attempt on the connection sees how it ends.
-            let _ = connection.await;
+            // The attempt on the connection sees how it ends, unless it is idle.
+            if let Err(error) = connection.await {
+                reporter.report_if_cause(&error);
+            }
         });
         Ok(Connection::new(
+            upstream,
             sender,
             socket,
             generation,
             task.abort_handle(),
+            surplus_reporter,
             permit,
         ))
     }
@@ -184,6 +200,8 @@
     connector: &'a Connector,
     upstream: &'a Rc<Upstream>,
     started: usize,
+    /// Why a dial failed. An idle connection may still become reusable.
+    failure: Option<AttemptOutcome>,
     hedge_delay: Duration,
     next_hedge_at: Instant,
     sender: mpsc::Sender<DialResult>,
@@ -199,6 +217,7 @@
             connector,
             upstream,
             started: 0,
+            failure: None,
             hedge_delay,
             next_hedge_at,
             sender,
--- a/balancer/src/outbound/endpoint_table.rs
+++ b/balancer/src/outbound/endpoint_table.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// How many upstreams have connections that carry one request each.
+    pub fn single_use_count(&self) -> usize {
+        let now = Instant::now();
+        self.by_id
+            .values()
+            .filter(|entry| entry.upstream.surplus().is_single_use(now))
+            .count()
+    }
+
     /// Closes the connections that have been idle for `idle_limit`.
     pub fn close_expired(&self, idle_limit: Duration) {
         let now = Instant::now();
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -9,3 +9,6 @@
 pub(crate) mod message;
 mod response_outcome;
 mod response_relay;
+mod reuse_lease;
+mod surplus_history;
+pub(crate) mod surplus_reporter;
--- /dev/null
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -0,0 +1,46 @@
+//! Whether a request's connection may still carry its response.
+use crate::outbound::connection_pool::{Connection, Upstream};
+use std::rc::Rc;
+
+/// The use of one connection for one request. It is revoked when the upstream turns out to send
+/// surplus data, if the connection carried an earlier request: its next response may belong to that
+/// one. The first response on a connection is always its own request's.
+pub struct ReuseLease {
+    upstream: Rc<Upstream>,
+    carried_earlier_request: bool,
+    /// Detections of surplus data when the use began.
+    known_detections: u64,
+}
+
+impl ReuseLease {
+    /// The next request's use of this connection to `upstream`.
+    pub fn new(upstream: &Rc<Upstream>, connection: &Connection) -> ReuseLease {
+        ReuseLease {
+            upstream: upstream.clone(),
+            carried_earlier_request: connection.has_carried_request(),
+            known_detections: upstream.surplus().detections(),
+        }
+    }
+
+    /// Whether the connection carried an earlier request.
+    pub fn carried_earlier_request(&self) -> bool {
+        self.carried_earlier_request
+    }
+
+    /// Whether the response on this connection must not be used.
+    pub fn is_revoked(&self) -> bool {
+        self.carried_earlier_request
+            && self.upstream.surplus().detections() != self.known_detections
+    }
+
+    /// Returns once the response on this connection must not be used.
+    pub async fn revoked(&self) {
+        if !self.carried_earlier_request {
+            std::future::pending::<()>().await;
+        }
+        self.upstream
+            .surplus()
+            .detected_since(self.known_detections)
+            .await;
+    }
+}
--- /dev/null
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -0,0 +1,73 @@
+//! Reports surplus data on a connection to its upstream, the metrics and the log.
+use crate::outbound::connection_pool::Upstream;
+use crate::telemetry::log::LogOutput;
+use crate::telemetry::upstream_counts::UpstreamCounts;
+use std::error::Error;
+use std::rc::{Rc, Weak};
+use tokio::time::Instant;
+
+/// Reports surplus data of one upstream.
+#[derive(Clone)]
+pub struct SurplusReporter {
+    upstream: Weak<Upstream>,
+    counts: Rc<UpstreamCounts>,
+}
+
+impl SurplusReporter {
+    /// A reporter for one connection to `upstream`.
+    pub fn new(upstream: &Rc<Upstream>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+        SurplusReporter {
+            upstream: Rc::downgrade(upstream),
+            counts,
+        }
+    }
+
+    /// Surplus data was detected on the connection. Its idle connections are closed, and requests
+    /// in flight on connections that were used before are not answered from them.
+    pub fn report(&self) {
+        let Some(upstream) = self.upstream.upgrade() else {
+            return;
+        };
+        self.counts.record_surplus();
+        let address = upstream.address();
+        tracing::debug!(upstream = %address, "surplus data detected");
+        if let Some(period) = upstream.record_surplus(Instant::now()) {
+            LogOutput::StandardError.write_line(&format!(
+                "upstream {address}: data beyond its responses: one request per connection for {} s",
+                period.as_secs()
+            ));
+        }
+    }
+
+    /// Reports surplus data if it caused the error with which the connection ended.
+    pub fn report_if_cause(&self, error: &hyper::Error) {
+        if is_caused_by_surplus_data(error) {
+            self.report();
+        }
+    }
+}
+
+/// Whether data that belongs to no request caused the error, or the error behind it.
+fn is_caused_by_surplus_data(error: &hyper::Error) -> bool {
+    match error.source() {
+        None => is_unexpected_message(error),
+        Some(source) => source
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(is_unexpected_message),
+    }
+}
+
+/// hyper has no predicate for this kind of error: it is the one without a source that is none of
+/// the other kinds.
+fn is_unexpected_message(error: &hyper::Error) -> bool {
+    error.source().is_none()
+        && !error.is_parse()
+        && !error.is_user()
+        && !error.is_canceled()
+        && !error.is_closed()
+        && !error.is_incomplete_message()
+        && !error.is_timeout()
+}
+
+#[cfg(test)]
+mod tests;
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -217,7 +217,7 @@
         deployment.connect_timeout,
         from_millis(deployment.policy.idle_close.min(MAX_SETTING_MS)),
         parts.sockets.clone(),
-        parts.metrics.attempts(),
+        parts.metrics.upstreams().clone(),
     );
     Transport::new(connector, parts.guard.clone())
 }
--- a/balancer/src/telemetry/metrics.rs
+++ b/balancer/src/telemetry/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics that operators fetch. Each event is counted once, when it is final, from the start
 //! of the process.
 use crate::telemetry::guard_counts::GuardCounts;
+use crate::telemetry::upstream_counts::UpstreamCounts;
 use balancer_core::EndpointCounts;
 use std::cell::Cell;
 use std::fmt::Write;
@@ -72,6 +73,17 @@
     }
 }
 
+/// Present values that the metrics show beside the counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Gauges {
+    /// Requests in progress.
+    pub active_requests: usize,
+    /// Listed and avoided endpoints.
+    pub endpoints: EndpointCounts,
+    /// Upstreams whose connections carry one request each.
+    pub single_use_upstreams: usize,
+}
+
 /// Counts of one class.
 struct ClassCounts {
     /// The class's name, escaped as a label's value.
@@ -83,8 +95,8 @@
 /// All counts of this process.
 pub struct Metrics {
     classes: Vec<ClassCounts>,
-    /// Attempts that were written completely to upstreams.
-    attempts: Rc<Cell<u64>>,
+    /// Counts of the connections to upstreams.
+    upstreams: Rc<UpstreamCounts>,
     reloads_applied: Cell<u64>,
     reloads_rejected: Cell<u64>,
     /// Violations of invariants, and denied writes.
@@ -105,7 +117,7 @@
             .collect();
         Rc::new(Metrics {
             classes,
-            attempts: Rc::default(),
+            upstreams: Rc::default(),
             reloads_applied: Cell::default(),
             reloads_rejected: Cell::default(),
             guard: GuardCounts::default(),
@@ -113,10 +125,9 @@
         })
     }
 
-    /// The count of attempts that are written completely, which the connections to upstreams
-    /// update.
-    pub fn attempts(&self) -> Rc<Cell<u64>> {
-        self.attempts.clone()
+    /// The counts that the connections to upstreams update.
+    pub fn upstreams(&self) -> &Rc<UpstreamCounts> {
+        &self.upstreams
     }
 
     /// The counts of the guard.
@@ -145,9 +156,8 @@
         });
     }
 
-    /// The metrics as operators read them, with the number of active requests and of listed and
-    /// avoided endpoints.
-    pub fn render(&self, active_requests: usize, endpoints: EndpointCounts) -> String {
+    /// The metrics as operators read them, with the present gauges.
+    pub fn render(&self, gauges: &Gauges) -> String {
         let mut text = String::new();
         for outcome in RequestOutcome::ALL {
             for class in &self.classes {
@@ -155,10 +165,14 @@
                 write_metric(&mut text, &name, class.completed[outcome as usize].get());
             }
         }
-        write_metric(&mut text, "tries", self.attempts.get());
-        write_metric(&mut text, "active", active_requests as u64);
-        write_metric(&mut text, "pool_size", endpoints.listed as u64);
-        write_metric(&mut text, "pool_ejected", endpoints.avoided as u64);
+        write_metric(&mut text, "tries", self.upstreams.requests_written().get());
+        write_metric(&mut text, "active", gauges.active_requests as u64);
+        write_metric(&mut text, "pool_size", gauges.endpoints.listed as u64);
+        write_metric(&mut text, "pool_ejected", gauges.endpoints.avoided as u64);
+        let detections = self.upstreams.surplus_detections();
+        write_metric(&mut text, "surplus_detections", detections);
+        let single_use = gauges.single_use_upstreams as u64;
+        write_metric(&mut text, "single_use_upstreams", single_use);
         write_metric(&mut text, "config_applied", self.reloads_applied.get());
         write_metric(&mut text, "config_rejected", self.reloads_rejected.get());
         for (rule, count) in self.guard.violations() {
--- a/balancer/src/telemetry/metrics/tests.rs
+++ b/balancer/src/telemetry/metrics/tests.rs
@@ -1,12 +1,16 @@
 //! The text of the metrics.
 use super::*;
 
-const ENDPOINTS: EndpointCounts = EndpointCounts {
-    listed: 4,
-    avoided: 1,
+const GAUGES: Gauges = Gauges {
+    active_requests: 2,
+    endpoints: EndpointCounts {
+        listed: 4,
+        avoided: 1,
+    },
+    single_use_upstreams: 3,
 };
 
-const EXPECTED: [&str; 27] = [
+const EXPECTED: [&str; 29] = [
     "node_ok{kind=\"read\"} 0",
     "node_ok{kind=\"odd \\\"\\\\\\n\"} 0",
     "node_shed{kind=\"read\"} 0",
@@ -17,6 +21,8 @@
     "node_active 2",
     "node_pool_size 4",
     "node_pool_ejected 1",
+    "node_surplus_detections 1",
+    "node_single_use_upstreams 3",
     "node_config_applied 0",
     "node_config_rejected 1",
     "node_violations{rule=\"attempt_limit\"} 0",
@@ -44,7 +50,7 @@
     answered.set_outcome(RequestOutcome::Served);
     assert!(
         metrics
-            .render(2, ENDPOINTS)
+            .render(&GAUGES)
             .contains("node_ok{kind=\"read\"} 0\n"),
         "it is not counted before its end"
     );
@@ -52,11 +58,12 @@
     drop(answered);
     drop(disconnected);
     metrics.record_completed(1, RequestOutcome::Rejected);
-    metrics.attempts().set(7);
+    metrics.upstreams().requests_written().set(7);
+    metrics.upstreams().record_surplus();
     metrics.record_reload(false);
     metrics.record_connection_closed(CloseReason::TimedOut);
     assert_eq!(
-        metrics.render(2, ENDPOINTS).lines().collect::<Vec<_>>(),
+        metrics.render(&GAUGES).lines().collect::<Vec<_>>(),
         EXPECTED
     );
 }
