--- a/soak/src/client/exchange.rs
+++ b/soak/src/client/exchange.rs
@@ -2,8 +2,7 @@
 use super::request::PreparedRequest;
 use super::{Client, ClientKind};
 use crate::observations::ClientOutcome;
-use crate::response_body::expected_body;
-use crate::rules::Rule;
+use crate::response_body::{expected_body, source_of};
 use crate::wire::{write_in_pieces, Message, ReadError};
 use rand::RngExt;
 use std::ops::Range;
@@ -83,7 +82,7 @@
             let details = format!("the response to {request_id} was {body:?}");
             self.recorder()
                 .lock()
-                .record_violation(Rule::WrongResponse, details);
+                .record_wrong_response(request_id, source_of(&body), details);
         }
         ClientOutcome::Response(status)
     }
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -47,11 +47,13 @@
     IdleConnections,
     /// A successor process replaces a balancer's process after it has served beside it.
     Upgrade,
+    /// A balancer gets several reloads in a row, and then several signals while it shuts down.
+    SignalSeries,
 }
 
 impl Fault {
     /// All kinds. A seed draws from them by position.
-    pub const ALL: [Fault; 21] = [
+    pub const ALL: [Fault; 22] = [
         Fault::Restart,
         Fault::Kill,
         Fault::Reload,
@@ -73,6 +75,7 @@
         Fault::Burst,
         Fault::IdleConnections,
         Fault::Upgrade,
+        Fault::SignalSeries,
     ];
 
     /// The name for `--only` and in the report. Some names are older than the terms of the code and stay for those who use them.
@@ -99,6 +102,7 @@
             Fault::Burst => "burst",
             Fault::IdleConnections => "idlecrowd",
             Fault::Upgrade => "upgrade",
+            Fault::SignalSeries => "signalseries",
         }
     }
 }
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -93,6 +93,7 @@
             Fault::Burst => self.send_burst().await,
             Fault::IdleConnections => self.open_idle_connections().await,
             Fault::Upgrade => self.upgrade_balancers().await,
+            Fault::SignalSeries => self.send_signal_series().await,
         }
     }
 
--- a/soak/src/injector/balancers.rs
+++ b/soak/src/injector/balancers.rs
@@ -1,6 +1,7 @@
 //! Faults of balancer processes: restarts, kills, reloads, stalls and upgrades.
 use super::FaultInjector;
 use crate::balancer::Signal;
+use rand::RngExt;
 use std::ops::Range;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -9,6 +10,8 @@
 const STALL_DURATION: Duration = Duration::from_millis(140);
 /// Pause between two stalls, in milliseconds.
 const STALL_PAUSE_MS: Range<u64> = 200..900;
+/// Number of reloads in a series.
+const RELOADS_IN_SERIES: Range<usize> = 2..5;
 /// Pause after a reload, in milliseconds.
 const RELOAD_PAUSE_MS: Range<u64> = 0..400;
 
@@ -21,6 +24,16 @@
         }
     }
 
+    /// Sends one balancer several reloads in a row, then shuts it down with further signals on the way.
+    pub(super) async fn send_signal_series(&mut self) {
+        let balancer = self.draw_balancer();
+        for _ in 0..self.random.random_range(RELOADS_IN_SERIES) {
+            self.testbed.reload(balancer).await;
+        }
+        let signals = [Signal::Hangup, Signal::Terminate, Signal::Hangup];
+        self.testbed.restart_with(balancer, &signals).await;
+    }
+
     pub(super) async fn upgrade_balancers(&mut self) {
         let ends_at = self.ends_at();
         while Instant::now() < ends_at {
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -1,6 +1,7 @@
 //! What the stand-ins observed in a run: requests, their attempts, and the state of balancers and upstreams over time.
 mod period;
 mod request;
+mod surplus;
 
 pub use period::{Period, Route, UnavailabilityCause, UnavailablePeriod};
 pub use request::{Attempt, AttemptOutcome, ClientOutcome, Request, RequestStart};
@@ -9,6 +10,7 @@
 use crate::rules::{Rule, Violation};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
+use surplus::SurplusResponses;
 use tokio::time::Instant;
 
 /// Number of requests by how they ended.
@@ -23,6 +25,7 @@
     downtime: HashMap<BalancerId, Vec<Period>>,
     descriptor_exhaustion: HashMap<BalancerId, Vec<Period>>,
     upstream_starts: HashMap<UpstreamId, Vec<Instant>>,
+    surplus: SurplusResponses,
     violations: Vec<Violation>,
 }
 
@@ -36,6 +39,7 @@
             downtime: HashMap::new(),
             descriptor_exhaustion: HashMap::new(),
             upstream_starts: HashMap::new(),
+            surplus: SurplusResponses::default(),
             violations: Vec::new(),
         }
     }
@@ -165,6 +169,35 @@
         self.requests.get_mut(request_id)?.attempts.get_mut(number)
     }
 
+    /// Records that a process of a balancer starts.
+    pub fn record_process_start(&mut self, balancer: BalancerId) {
+        self.surplus.record_process_start(balancer);
+    }
+
+    /// Records that an upstream sends the response to a request again, this long after the first time.
+    pub fn record_surplus_response(
+        &mut self,
+        request_id: &str,
+        upstream: UpstreamId,
+        delay: Duration,
+    ) {
+        self.surplus.record_sent(request_id, upstream, delay);
+    }
+
+    /// Records that a request got the response to the request `source`: a violation, unless it was a surplus response of
+    /// which the balancer could not know.
+    pub fn record_wrong_response(&mut self, request_id: &str, source: &str, details: String) {
+        let balancer = self
+            .requests
+            .get(request_id)
+            .map(|request| request.start.balancer);
+        let is_allowed =
+            balancer.is_some_and(|balancer| self.surplus.may_pass_on(source, balancer));
+        if !is_allowed {
+            self.record_violation(Rule::WrongResponse, details);
+        }
+    }
+
     /// Records that a balancer counts as knowing, from `since`, that it may use an upstream.
     pub fn record_available(&mut self, route: Route, since: Instant) {
         for period in self.unavailable.entry(route).or_default() {
--- a/soak/src/response_body.rs
+++ b/soak/src/response_body.rs
@@ -5,12 +5,20 @@
 /// A large body repeats the small one this many times, which makes it at least 120 KB long.
 pub const LARGE_BODY_REPEATS: usize = 10_000;
 
+/// What each body starts with, before the id of its request.
+const BODY_START: &str = "served ";
+
 /// Builds the body of the response to a request. It names the request, so that a client notices another one's response.
 pub fn expected_body(request_id: &str) -> String {
-    let body = format!("served {request_id}");
+    let body = format!("{BODY_START}{request_id}");
     if request_id.ends_with(LARGE_REQUEST_SUFFIX) {
         body.repeat(LARGE_BODY_REPEATS)
     } else {
         body
     }
 }
+
+/// The id of the request that a body names; empty if it names none.
+pub fn source_of(body: &str) -> &str {
+    body.split(BODY_START).nth(1).unwrap_or_default()
+}
--- a/soak/src/testbed/lifecycle.rs
+++ b/soak/src/testbed/lifecycle.rs
@@ -8,6 +8,8 @@
 
 /// Time after SIGTERM for which clients still open connections.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(350);
+/// Pause between two signals of a series.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(40);
 
 impl Testbed {
     /// Starts all balancers, one after the other.
@@ -26,6 +28,7 @@
             .configure(discovery_address, &known_list)
             .and_then(|()| balancer.start(self.seed));
         self.discovery.balancer_started(id);
+        self.recorder.lock().record_process_start(id);
         if let Err(error) = started {
             let details = format!("balancer {id} cannot be started: {error}");
             self.record_violation(Rule::Crash, details);
@@ -54,13 +57,23 @@
 
     /// Shuts a balancer down gracefully and starts it again.
     pub async fn restart(&self, id: BalancerId) {
+        self.restart_with(id, &[]).await;
+    }
+
+    /// Shuts a balancer down gracefully, with further signals after the first, and starts it again. Clients use their
+    /// open connections until it has ended, or until it is killed at the earliest time that the operators allow.
+    pub async fn restart_with(&self, id: BalancerId, further_signals: &[Signal]) {
         let mut balancer = self.lock_balancer(id).await;
         if !balancer.has_process() {
             return;
         }
         let signalled_at = Instant::now();
         balancer.signal(Signal::Terminate);
-        sleep(ACCEPT_PERIOD).await;
+        for &signal in further_signals {
+            sleep(SIGNAL_PAUSE).await;
+            balancer.signal(signal);
+        }
+        sleep(ACCEPT_PERIOD.saturating_sub(signalled_at.elapsed())).await;
         self.clients(id).forbid_connections();
         let limit = KILL_DELAY.saturating_sub(signalled_at.elapsed());
         let exit_code = balancer.wait_for_exit(limit).await;
@@ -83,6 +96,7 @@
         if !balancer.has_process() {
             return;
         }
+        self.recorder.lock().record_process_start(id);
         let known_list = self.discovery.snapshot_for_successor(id);
         let discovery_address = self.balancers[id.0].discovery_address();
         let upgraded = balancer
--- a/soak/src/upstream/connection.rs
+++ b/soak/src/upstream/connection.rs
@@ -4,22 +4,22 @@
 use crate::observations::AttemptOutcome;
 use crate::response_body::expected_body;
 use crate::rules::Rule;
-use crate::wire::{format_response, Message, MessageReader};
+use crate::wire::{format_response, Message, MessageReader, ReadError};
 use rand::rngs::StdRng;
 use rand::RngExt;
 use std::io;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Longest time for which a request without a response, or an unresponsive connection, stays open.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_secs(8);
-/// Pause before a second response to the same request.
-const DUPLICATE_RESPONSE_PAUSE: Duration = Duration::from_millis(3);
+/// Pause before a second response to the same request, in milliseconds.
+const DUPLICATE_RESPONSE_PAUSE_MS: RangeInclusive<u64> = 1..=1000;
 /// Longest time to respond, in milliseconds.
 const MAX_LATENCY_MS: f64 = 2000.0;
 /// Time after a response, in milliseconds, after which the idle connection is closed.
@@ -48,10 +48,18 @@
     number: usize,
 }
 
+/// A response that is sent again.
+struct SurplusResponse {
+    due_at: Instant,
+    response: String,
+}
+
 struct Connection {
     state: Arc<State>,
     random: StdRng,
     writer: OwnedWriteHalf,
+    /// A second response to an earlier request that is still to be sent.
+    surplus: Option<SurplusResponse>,
     /// The upstream's generation when the connection was accepted.
     generation: u64,
 }
@@ -70,6 +78,7 @@
         state,
         random,
         writer,
+        surplus: None,
         generation,
     };
     loop {
@@ -83,7 +92,7 @@
 
 impl Connection {
     async fn serve_request(&mut self, reader: &mut MessageReader) -> ConnectionFate {
-        let Ok(started_at) = reader.wait_for_first_byte().await else {
+        let Ok(started_at) = self.wait_for_request(reader).await else {
             return ConnectionFate::Close;
         };
         if self.random.random::<f64>() < self.state.profile().early_reset {
@@ -154,10 +163,8 @@
     async fn respond(&mut self, attempt: &Attempt) -> ConnectionFate {
         let profile = self.state.profile();
         let latency_ms = profile.draw_latency_ms(&mut self.random);
-        sleep(Duration::from_secs_f64(
-            latency_ms.min(MAX_LATENCY_MS) / 1000.0,
-        ))
-        .await;
+        let latency = Duration::from_secs_f64(latency_ms.min(MAX_LATENCY_MS) / 1000.0);
+        self.wait_until(Instant::now() + latency).await;
         match self.draw_action() {
             ResponseAction::Respond { status, outcome } => {
                 self.send_response(attempt, status, outcome).await
@@ -227,8 +234,38 @@
         if self.write(&response).await.is_err() {
             return ConnectionFate::Close;
         }
-        sleep(DUPLICATE_RESPONSE_PAUSE).await;
-        ConnectionFate::after_write(self.write(&response).await)
+        let pause = Duration::from_millis(self.random.random_range(DUPLICATE_RESPONSE_PAUSE_MS));
+        self.state.recorder().lock().record_surplus_response(
+            &attempt.request_id,
+            self.state.id(),
+            pause,
+        );
+        self.surplus = Some(SurplusResponse {
+            due_at: Instant::now() + pause,
+            response,
+        });
+        ConnectionFate::Keep
+    }
+
+    /// Waits until `until`, and sends the surplus response when it is due.
+    async fn wait_until(&mut self, until: Instant) {
+        if let Some(surplus) = self.surplus.take_if(|surplus| surplus.due_at <= until) {
+            sleep_until(surplus.due_at).await;
+            // The balancer may have closed the connection.
+            let _ = self.write(&surplus.response).await;
+        }
+        sleep_until(until).await;
+    }
+
+    /// Waits for the next request, and sends the surplus response if it is due before.
+    async fn wait_for_request(&mut self, reader: &mut MessageReader) -> Result<Instant, ReadError> {
+        if let Some(due_at) = self.surplus.as_ref().map(|surplus| surplus.due_at) {
+            tokio::select! {
+                started_at = reader.wait_for_first_byte() => return started_at,
+                () = self.wait_until(due_at) => {}
+            }
+        }
+        reader.wait_for_first_byte().await
     }
 
     async fn send_response_without_length(&mut self, attempt: &Attempt) -> ConnectionFate {
