fault-injection: fail the calls on the process's own descriptors

Cause: the library could fail reads and writes of sockets and files only.

Change: 16 kinds of fault are appended to `control::Fault`; the positions of the present words stay. They cover reads and writes of eventfd, timerfd, signalfd, pipes and socket pairs, `epoll_ctl`, `timerfd_settime`, the creation and duplication of these descriptors, and writes to the standard error. A word made by `first_calls` makes the first calls fail instead of a fraction. The soak clears the words after the clock's offset too.

Errors are those of the man pages, but for three that they do not list for these descriptors: EIO of an event descriptor's read, EINVAL of `timerfd_settime` for a valid time, and ENOMEM of EPOLL_CTL_DEL, which allocates nothing. The process is to survive them too.

--- a/fault-injection/src/calls.rs
+++ b/fault-injection/src/calls.rs
@@ -1,7 +1,13 @@
 //! The replaced functions of the C library, by group.
 pub mod clock;
 pub mod connections;
+pub mod duplicates;
+pub mod epoll;
+pub mod eventfd;
 pub mod files;
+pub mod pairs;
 pub mod reads;
+pub mod signalfd;
+pub mod timerfd;
 pub mod waits;
 pub mod writes;
--- a/fault-injection/src/calls/reads.rs
+++ b/fault-injection/src/calls/reads.rs
@@ -1,6 +1,8 @@
-//! Reads from sockets and files.
-use crate::control::{should_inject, Fault};
-use crate::descriptors::{is_connected_here, is_file, is_socket};
+//! Reads from sockets, files and event descriptors.
+use crate::control::{should_inject, should_inject_if, Fault};
+use crate::descriptors::{
+    is_connected_here, is_event_descriptor, is_file, is_local_socket, is_socket,
+};
 use crate::errno::{fail, fail_with_one_of};
 use libc::{c_int, c_void, iovec, size_t, ssize_t};
 
@@ -9,6 +11,9 @@
     if should_inject(Fault::InterruptedRead) {
         return Some(fail(libc::EINTR));
     }
+    if should_inject_if(Fault::InterruptedPairRead, || is_local_socket(fd)) {
+        return Some(fail(libc::EINTR));
+    }
     // Only connections to upstreams break: a client whose connection breaks could not see its response, while the
     // retry after a broken upstream connection can be checked from outside.
     if is_connected_here(fd) && should_inject(Fault::BrokenRead) {
@@ -64,6 +69,15 @@
     if should_inject(Fault::DiskRead) && is_file(fd) {
         return fail(libc::EIO);
     }
+    if should_inject_if(Fault::InterruptedEventRead, || is_event_descriptor(fd)) {
+        return fail(libc::EINTR);
+    }
+    if should_inject_if(Fault::FailedEventRead, || is_event_descriptor(fd)) {
+        return fail(libc::EIO);
+    }
+    if should_inject_if(Fault::InterruptedPairRead, || is_local_socket(fd)) {
+        return fail(libc::EINTR);
+    }
     let is_short = should_inject(Fault::ShortRead) && is_socket(fd);
     let length = if is_short { length.min(1) } else { length };
     // SAFETY: the caller guarantees the contract of `read`, and the length has not grown.
--- a/fault-injection/src/calls/waits.rs
+++ b/fault-injection/src/calls/waits.rs
@@ -1,11 +1,9 @@
 //! Waits for events.
 use crate::control::{should_inject, Fault};
 use crate::errno::fail;
+use crate::signal_set::KERNEL_SIGNAL_SET_BYTES;
 use libc::{c_int, c_void, epoll_event};
 
-/// Size of the kernel's signal set, which `epoll_pwait` takes besides the set.
-const KERNEL_SIGNAL_SET_BYTES: usize = 8;
-
 /// `epoll_wait(2)`.
 ///
 /// # Safety
--- a/fault-injection/src/calls/writes.rs
+++ b/fault-injection/src/calls/writes.rs
@@ -1,9 +1,21 @@
-//! Writes to sockets and files.
-use crate::control::{should_inject, Fault};
-use crate::descriptors::{is_file, is_socket};
+//! Writes to sockets, files, event descriptors and the log.
+use crate::control::{should_inject, should_inject_if, Fault};
+use crate::descriptors::{is_event_descriptor, is_file, is_local_socket, is_socket};
 use crate::errno::{fail, fail_with_one_of};
 use libc::{c_int, c_void, iovec, size_t, ssize_t};
 
+const LOG_ERRORS: [c_int; 2] = [libc::EIO, libc::EPIPE];
+
+/// The result of a write that fails, if it is to fail, for descriptors that serve the process itself.
+fn injected_failure(fd: c_int) -> Option<ssize_t> {
+    if should_inject_if(Fault::FailedLogWrite, || fd == libc::STDERR_FILENO) {
+        return Some(fail_with_one_of(&LOG_ERRORS));
+    }
+    let is_interrupted = should_inject_if(Fault::InterruptedEventWrite, || is_event_descriptor(fd))
+        || should_inject_if(Fault::InterruptedPairWrite, || is_local_socket(fd));
+    is_interrupted.then(|| fail(libc::EINTR))
+}
+
 /// `send(2)`.
 ///
 /// # Safety
@@ -18,6 +30,9 @@
     if should_inject(Fault::InterruptedWrite) {
         return fail(libc::EINTR);
     }
+    if let Some(failure) = injected_failure(fd) {
+        return failure;
+    }
     let is_short = should_inject(Fault::ShortWrite);
     let length = if is_short { length.min(1) } else { length };
     let no_address = std::ptr::null::<c_void>();
@@ -48,6 +63,9 @@
         unsafe { libc::syscall(libc::SYS_write, fd, buffer, length / 2) };
         return fail_with_one_of(&[libc::ENOSPC, libc::EIO]);
     }
+    if let Some(failure) = injected_failure(fd) {
+        return failure;
+    }
     let is_short = should_inject(Fault::ShortWrite) && is_socket(fd);
     let length = if is_short { length.min(1) } else { length };
     // SAFETY: the caller guarantees the contract of `write`, and the length has not grown.
@@ -63,6 +81,9 @@
     if should_inject(Fault::InterruptedWrite) && is_socket(fd) {
         return fail(libc::EINTR);
     }
+    if let Some(failure) = injected_failure(fd) {
+        return failure;
+    }
     if should_inject(Fault::ShortWrite) && is_socket(fd) {
         // SAFETY: the caller guarantees that `vectors` points to `count` valid vectors.
         let buffers = unsafe { std::slice::from_raw_parts(vectors, count.max(0) as usize) };
--- a/fault-injection/src/control.rs
+++ b/fault-injection/src/control.rs
@@ -1,7 +1,10 @@
-//! The control file: the probability of each fault. A test changes it while the process runs.
+//! The control file: when each fault is injected. A test changes it while the process runs.
 //!
 //! The file holds one little-endian 64-bit word for each [`Fault`], in their order. The library maps it into the
-//! process; the test writes the words.
+//! process; the test writes the words. A word is a probability in millionths or made by [`first_calls`]; only that of
+//! [`Fault::ClockOffset`] is an offset.
+pub use crate::fault::Fault;
+
 use std::ffi::CStr;
 use std::sync::atomic::{AtomicPtr, AtomicU64, Ordering};
 
@@ -14,7 +17,11 @@
 /// Size of the control file.
 pub const FILE_BYTES: usize = Fault::COUNT * WORD_BYTES;
 
-const WORD_BYTES: usize = 8;
+/// Size of a word of the control file.
+pub const WORD_BYTES: usize = 8;
+
+/// Marks a word that counts calls instead of being a probability.
+const FIRST_CALLS: u64 = 1 << 32;
 const CONTROL_FILE_VARIABLE: &CStr = c"FAULT_CONTROL";
 const SEED_VARIABLE: &CStr = c"FAULT_SEED";
 /// The golden ratio in 64 bits: spreads small seeds over all states of the generator.
@@ -29,48 +36,16 @@
     }
 }
 
-/// The faults that can be injected. All words but that of [`Fault::ClockOffset`] are probabilities in millionths.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[repr(usize)]
-pub enum Fault {
-    /// A read from a socket returns at most one byte.
-    ShortRead,
-    /// A read from a socket fails with EINTR.
-    InterruptedRead,
-    /// A write to a socket accepts one byte only.
-    ShortWrite,
-    /// A write to a socket fails with EINTR.
-    InterruptedWrite,
-    /// A read from a connection that the process opened itself fails with ETIMEDOUT or EHOSTUNREACH.
-    BrokenRead,
-    /// `accept` fails with a transient error.
-    Accept,
-    /// `connect` fails with a transient error.
-    Connect,
-    /// `socket` fails with a transient error.
-    Socket,
-    /// A wait fails with EINTR.
-    InterruptedWait,
-    /// Creating, writing, renaming or syncing a file fails with ENOSPC or EIO.
-    DiskWrite,
-    /// Reading a file fails with EIO.
-    DiskRead,
-    /// Offset of the wall clock in milliseconds, a signed number.
-    ClockOffset,
-}
-
-impl Fault {
-    /// Number of faults.
-    pub const COUNT: usize = 12;
-
-    /// Position of the fault's word in the control file, in bytes.
-    pub fn offset(self) -> u64 {
-        (self as usize * WORD_BYTES) as u64
-    }
+/// The word that makes the first `calls` calls fail. They are counted while such a word is set, over the life of the
+/// process.
+pub const fn first_calls(calls: u32) -> u64 {
+    FIRST_CALLS | calls as u64
 }
 
 /// The mapped control file; null without one.
 static WORDS: AtomicPtr<AtomicU64> = AtomicPtr::new(std::ptr::null_mut());
+/// For each fault, the calls that were counted for [`first_calls`].
+static COUNTED_CALLS: [AtomicU64; Fault::COUNT] = [const { AtomicU64::new(0) }; Fault::COUNT];
 /// State of the random generator; never zero.
 static RANDOM_STATE: AtomicU64 = AtomicU64::new(SEED_FACTOR);
 
@@ -155,8 +130,20 @@
 
 /// Whether to inject a fault into the present call. Draws a random number only for a fault that is possible.
 pub(crate) fn should_inject(fault: Fault) -> bool {
-    let probability = read_word(fault);
-    probability > 0 && (random() >> 16) % CERTAIN < probability
+    should_inject_if(fault, || true)
+}
+
+/// Whether to inject a fault into the present call, which must satisfy `condition`. Checks it only for a fault that is
+/// possible.
+pub(crate) fn should_inject_if(fault: Fault, condition: impl FnOnce() -> bool) -> bool {
+    let word = read_word(fault);
+    if word == 0 || !condition() {
+        return false;
+    }
+    if word & FIRST_CALLS != 0 {
+        return COUNTED_CALLS[fault as usize].fetch_add(1, Ordering::Relaxed) < word ^ FIRST_CALLS;
+    }
+    (random() >> 16) % CERTAIN < word
 }
 
 /// Offset of the wall clock, in milliseconds.
--- a/fault-injection/src/descriptors.rs
+++ b/fault-injection/src/descriptors.rs
@@ -2,6 +2,9 @@
 use libc::{c_int, mode_t};
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// The file type that Linux reports for an eventfd, timerfd, signalfd or epoll descriptor.
+const ANONYMOUS_INODE: mode_t = 0;
+
 pub(crate) fn is_file(fd: c_int) -> bool {
     fd > libc::STDERR_FILENO && has_file_type(fd, libc::S_IFREG)
 }
@@ -10,6 +13,24 @@
     has_file_type(fd, libc::S_IFSOCK)
 }
 
+/// Whether a descriptor is an eventfd, timerfd, signalfd or pipe of the process, other than its standard streams.
+pub(crate) fn is_event_descriptor(fd: c_int) -> bool {
+    fd > libc::STDERR_FILENO
+        && (has_file_type(fd, ANONYMOUS_INODE) || has_file_type(fd, libc::S_IFIFO))
+}
+
+/// Whether a descriptor is a local socket. The process has no others than its own pairs.
+pub(crate) fn is_local_socket(fd: c_int) -> bool {
+    let mut address = libc::sockaddr {
+        sa_family: 0,
+        sa_data: [0; 14],
+    };
+    let mut length = std::mem::size_of::<libc::sockaddr>() as libc::socklen_t;
+    // SAFETY: both pointers are valid for the call, which writes at most `length` bytes of the address.
+    let result = unsafe { libc::syscall(libc::SYS_getsockname, fd, &mut address, &mut length) };
+    result == 0 && c_int::from(address.sa_family) == libc::AF_UNIX
+}
+
 /// Whether a descriptor has this type, one of `S_IFMT`.
 fn has_file_type(fd: c_int, file_type: mode_t) -> bool {
     // SAFETY: all fields of `stat` are numbers, for which zero is valid.
--- a/fault-injection/src/errno.rs
+++ b/fault-injection/src/errno.rs
@@ -2,6 +2,12 @@
 use crate::control::random;
 use libc::c_int;
 
+/// The errors of calls that create a descriptor.
+pub(crate) const DESCRIPTOR_CREATION_ERRORS: [c_int; 3] =
+    [libc::EMFILE, libc::ENFILE, libc::ENOMEM];
+/// The errors of calls that create a pair of descriptors.
+pub(crate) const PAIR_CREATION_ERRORS: [c_int; 2] = [libc::EMFILE, libc::ENFILE];
+
 /// Sets `errno` and returns -1 as the call's result.
 pub(crate) fn fail<T: From<i8>>(error: c_int) -> T {
     // SAFETY: `__errno_location` returns a valid pointer to a variable of this thread.
--- a/fault-injection/src/lib.rs
+++ b/fault-injection/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod control;
 mod descriptors;
 mod errno;
+mod fault;
+mod signal_set;
 
 /// Runs when the library is loaded, before the process's `main`.
 #[used]
--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -12,7 +12,7 @@
 
 use crate::ids::BalancerId;
 use address::free_address;
-use fault_injection::control::{Fault as SyscallFault, CONTROL_FILE, FILE_BYTES, SEED};
+use fault_injection::control::{Fault as SyscallFault, CONTROL_FILE, FILE_BYTES, SEED, WORD_BYTES};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -95,10 +95,17 @@
             .map_err(|source| self.control_file_error(source))
     }
 
-    /// Ends all system call faults. The offset of the wall clock, which is the last word, stays.
+    /// Ends all system call faults. The offset of the wall clock stays.
     pub fn clear_syscall_faults(&self) -> Result<(), BalancerError> {
+        const CLOCK_OFFSET_AT: usize = SyscallFault::ClockOffset as usize * WORD_BYTES;
+        const NEXT_WORD_AT: usize = CLOCK_OFFSET_AT + WORD_BYTES;
         self.control_file
-            .write_all_at(&[0; FILE_BYTES - 8], 0)
+            .write_all_at(&[0; CLOCK_OFFSET_AT], 0)
+            .and_then(|()| {
+                let words_after = [0; FILE_BYTES - NEXT_WORD_AT];
+                self.control_file
+                    .write_all_at(&words_after, NEXT_WORD_AT as u64)
+            })
             .map_err(|source| self.control_file_error(source))
     }
 
