Test that the balancer survives failing calls on its own descriptors

A call on one of the process's own descriptors that fails ends the process, loses a signal or closes connections unanswered. The soak finds this only by chance.

Change: tests/failing_calls.rs plays 27 rows of failing calls at five moments: start, idle, load, reloads under load and handoff under load. A play expects that the process is ready in time, answers every request, follows every reload, breaks no invariant and exits with code 0 before it would be killed. FAILING_CALLS_PLAYS sets the plays of a row. tests/inherited_signals.rs starts the balancer with its signals blocked or ignored by its parent.

--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -9,11 +9,14 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How many log lines a failed test prints.
 const PRINTED_LOG_LINES: usize = 40;
 
+/// Pause between two looks at a process that is to exit.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A running balancer; killed when dropped.
 pub struct BalancerProcess {
     child: Child,
@@ -178,6 +181,11 @@
         self.signal("TERM");
     }
 
+    /// Asks it to shut down as from a terminal.
+    pub fn interrupt(&self) {
+        self.signal("INT");
+    }
+
     /// Replaces the configuration and has it reloaded.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config_path, config).expect("writes the configuration");
@@ -202,6 +210,16 @@
         status
     }
 
+    /// The same, but fails if it does not exit in [`TEST_TIMEOUT`].
+    pub fn wait_for_exit_in_time(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        while self.child.try_wait().expect("its status").is_none() {
+            assert!(start.elapsed() < TEST_TIMEOUT, "it does not exit");
+            thread::sleep(EXIT_POLL_INTERVAL);
+        }
+        self.wait_for_exit()
+    }
+
     /// A client that has connected.
     pub fn client(&self) -> Client {
         self.try_client().expect("connects")
--- a/balancer/tests/common/configuration.rs
+++ b/balancer/tests/common/configuration.rs
@@ -77,6 +77,17 @@
     with_config_file(config, shell)
 }
 
+/// The same with all signals ignored that it follows.
+pub fn balancer_command_ignoring_signals(config: &str) -> Command {
+    let mut shell = Command::new("sh");
+    let exec = format!(
+        "trap '' HUP TERM INT; exec {}",
+        env!("CARGO_BIN_EXE_balancer")
+    );
+    shell.args(["-c", &exec]);
+    with_config_file(config, shell)
+}
+
 fn with_config_file(config: &str, mut command: Command) -> Command {
     static FILE_COUNT: AtomicUsize = AtomicUsize::new(0);
     let name = format!(
--- /dev/null
+++ b/balancer/tests/failing_calls/failure.rs
@@ -0,0 +1,26 @@
+//! What a play finds wrong.
+use crate::load::RequestOutcome;
+use std::process::ExitStatus;
+use std::time::Duration;
+
+/// Something that must not happen in a play.
+#[derive(Debug)]
+#[allow(dead_code, reason = "the fields are printed")]
+pub enum Failure {
+    /// The process did not become ready in time.
+    NotReady,
+    /// The process exited before it was told to.
+    ExitedEarly(ExitStatus),
+    /// The process ended in another way than with exit code 0.
+    Exit(ExitStatus),
+    /// The process ran on after the time at which it would have been killed.
+    NoExit(Duration),
+    /// Requests ended in this way.
+    Requests(RequestOutcome, usize),
+    /// No request was answered.
+    NothingServed,
+    /// The reload with this number was not applied in time.
+    ReloadNotApplied(u64),
+    /// The process reported that it broke an invariant.
+    Violation(String),
+}
--- /dev/null
+++ b/balancer/tests/failing_calls/fault_control.rs
@@ -0,0 +1,58 @@
+//! The fault injection library and its control file.
+use crate::rows::Row;
+use fault_injection::control::{CONTROL_FILE, FILE_BYTES, SEED};
+use std::fs::{self, File, OpenOptions};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const LIBRARY_NAME: &str = "libfault_injection.so";
+const FILE_NAME: &str = "faults";
+
+/// The control file of one play, which its processes share.
+pub struct FaultControl {
+    path: PathBuf,
+    file: File,
+}
+
+impl FaultControl {
+    /// A control file in this folder in which no fault is set.
+    pub fn create(folder: &Path) -> FaultControl {
+        let path = folder.join(FILE_NAME);
+        fs::write(&path, [0; FILE_BYTES]).expect("writes the control file");
+        let file = OpenOptions::new()
+            .write(true)
+            .open(&path)
+            .expect("opens the control file");
+        FaultControl { path, file }
+    }
+
+    /// Sets the faults of a row.
+    pub fn set(&self, row: &Row) {
+        for fault in row.faults {
+            self.file
+                .write_all_at(&row.word.to_le_bytes(), fault.offset())
+                .expect("writes the control file");
+        }
+    }
+
+    /// Has a command load the library, with this seed.
+    pub fn preload(&self, command: &mut Command, seed: u64) {
+        command
+            .env("LD_PRELOAD", library())
+            .env(CONTROL_FILE, &self.path)
+            .env(SEED, seed.to_string());
+    }
+}
+
+/// The library, which cargo builds into the folder of this test or the one above.
+fn library() -> PathBuf {
+    let program = std::env::current_exe().expect("the path of this test");
+    program
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .map(|folder| folder.join(LIBRARY_NAME))
+        .find(|path| path.is_file())
+        .expect("the fault injection library is built with this test")
+}
--- /dev/null
+++ b/balancer/tests/failing_calls/load.rs
@@ -0,0 +1,197 @@
+//! Clients that send about sixty idempotent requests a second, half of them on new connections.
+use crate::common::{get_request, read_message, Message};
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Time between two requests of a client.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(33);
+/// Within this time after the response to the last request, the balancer does not close a connection that is idle.
+const IDLE_PROMISE: Duration = Duration::from_millis(80);
+/// For this long after SIGTERM connections are accepted without a successor. The balancer promises a little more.
+const ACCEPT_PROMISE: Duration = Duration::from_millis(400);
+/// Longest time for a response: the deadline of the requests' class, and a reserve.
+const RESPONSE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RequestOutcome {
+    /// A response with this status.
+    Response(u16),
+    /// The request was sent, and the connection closed without a response.
+    ClosedWithoutResponse,
+    /// The same on a connection that had been idle for so long that its close may have crossed the request.
+    CrossedByClose,
+    /// No response in time.
+    Overdue,
+    /// The balancer did not accept a connection.
+    Refused,
+    /// The same after the time for which it promises to.
+    RefusedLate,
+}
+
+/// How many requests ended in which way.
+pub type Tally = BTreeMap<RequestOutcome, usize>;
+
+/// What the clients must know of a play.
+#[derive(Default)]
+struct Progress {
+    /// Set once the last process is told to end.
+    terminated_at: OnceLock<Instant>,
+    stops_connecting: AtomicBool,
+    /// Set once a play has failed: its processes may go on.
+    is_abandoned: AtomicBool,
+}
+
+impl Progress {
+    fn must_accept(&self) -> bool {
+        self.terminated_at
+            .get()
+            .is_none_or(|at| at.elapsed() < ACCEPT_PROMISE)
+    }
+}
+
+/// Clients that run until the balancer ends their connections.
+pub struct Load {
+    progress: Arc<Progress>,
+    clients: Vec<JoinHandle<Tally>>,
+}
+
+impl Load {
+    /// Starts a client that keeps its connection and one that connects for each request.
+    pub fn start(address: SocketAddr) -> Load {
+        let progress = Arc::new(Progress::default());
+        let clients = [true, false]
+            .map(|keeps_connection| {
+                let client = LoadClient {
+                    address,
+                    keeps_connection,
+                    progress: progress.clone(),
+                    connection: None,
+                    tally: Tally::new(),
+                };
+                thread::spawn(move || client.run())
+            })
+            .into();
+        Load { progress, clients }
+    }
+
+    /// The last process is told to end now.
+    pub fn mark_terminated(&self) {
+        let _ = self.progress.terminated_at.set(Instant::now());
+    }
+
+    /// No new connections are opened from now on.
+    pub fn stop_connecting(&self) {
+        self.progress.stops_connecting.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends without waiting for the balancer to end the connections.
+    pub fn abandon(&self) {
+        self.progress.is_abandoned.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits until the last connection has ended.
+    pub fn finish(self) -> Tally {
+        self.stop_connecting();
+        let mut total = Tally::new();
+        for client in self.clients {
+            for (outcome, count) in client.join().expect("the client does not panic") {
+                *total.entry(outcome).or_default() += count;
+            }
+        }
+        total
+    }
+}
+
+struct Connection {
+    stream: BufReader<TcpStream>,
+    /// When the last response was read; none on a new connection.
+    idle_since: Option<Instant>,
+}
+
+impl Connection {
+    fn open(address: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(RESPONSE_LIMIT))?;
+        Ok(Connection {
+            stream: BufReader::new(stream),
+            idle_since: None,
+        })
+    }
+
+    /// Sends a request and reads the response.
+    fn exchange(&mut self, request: &str) -> Result<Message, RequestOutcome> {
+        let sent_at = Instant::now();
+        let may_cross = self
+            .idle_since
+            .is_some_and(|at| sent_at.duration_since(at) >= IDLE_PROMISE);
+        let written = self.stream.get_mut().write_all(request.as_bytes());
+        let response = written.ok().and_then(|()| read_message(&mut self.stream));
+        self.idle_since = Some(Instant::now());
+        match response {
+            Some(response) if sent_at.elapsed() < RESPONSE_LIMIT => Ok(response),
+            _ if sent_at.elapsed() >= RESPONSE_LIMIT => Err(RequestOutcome::Overdue),
+            _ if may_cross => Err(RequestOutcome::CrossedByClose),
+            _ => Err(RequestOutcome::ClosedWithoutResponse),
+        }
+    }
+}
+
+struct LoadClient {
+    address: SocketAddr,
+    keeps_connection: bool,
+    progress: Arc<Progress>,
+    connection: Option<Connection>,
+    tally: Tally,
+}
+
+impl LoadClient {
+    fn run(mut self) -> Tally {
+        let mut requests = 0;
+        while !self.is_finished() {
+            let id = format!("{}-{requests}", self.keeps_connection);
+            requests += 1;
+            let outcome = self.request(&get_request(&id, "5000m"));
+            *self.tally.entry(outcome).or_default() += 1;
+            thread::sleep(REQUEST_INTERVAL);
+        }
+        self.tally
+    }
+
+    fn is_finished(&self) -> bool {
+        let progress = &self.progress;
+        let may_connect = !progress.stops_connecting.load(Ordering::SeqCst);
+        let is_abandoned = progress.is_abandoned.load(Ordering::SeqCst);
+        is_abandoned || (self.connection.is_none() && !may_connect)
+    }
+
+    fn request(&mut self, request: &str) -> RequestOutcome {
+        let must_accept = self.progress.must_accept();
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => match Connection::open(self.address) {
+                Ok(connection) => connection,
+                Err(_) if must_accept && self.progress.must_accept() => {
+                    return RequestOutcome::Refused
+                }
+                Err(_) => return RequestOutcome::RefusedLate,
+            },
+        };
+        match connection.exchange(request) {
+            Ok(response) => {
+                let is_last = response.header("connection") == Some("close");
+                if self.keeps_connection && !is_last {
+                    self.connection = Some(connection);
+                }
+                RequestOutcome::Response(response.status())
+            }
+            Err(outcome) => outcome,
+        }
+    }
+}
--- /dev/null
+++ b/balancer/tests/failing_calls/runner.rs
@@ -0,0 +1,97 @@
+//! Plays all rows at one moment and reports the rows that fail.
+use crate::plays::{Moment, Play, PlayResult};
+use crate::rows::{Row, ROWS};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+
+/// Name of the environment variable with the number of plays of each row.
+const PLAYS_VARIABLE: &str = "FAILING_CALLS_PLAYS";
+const DEFAULT_PLAYS: usize = 1;
+/// Plays at once. They wait most of the time.
+const PLAYS_AT_ONCE: usize = 6;
+/// How many lines of the log of a failed play are reported.
+const REPORTED_LOG_LINES: usize = 4;
+
+/// Held while a moment is played.
+static RUN_LOCK: Mutex<()> = Mutex::new(());
+
+/// The plays of one row that failed.
+#[derive(Default)]
+struct RowReport {
+    failed: usize,
+    /// Why the first play failed.
+    evidence: String,
+}
+
+/// Plays all rows at this moment.
+pub fn assert_all_rows_survive(moment: Moment) {
+    let _run = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let plays = play_count();
+    let reports = play_all(moment, plays);
+    let failed = reports.iter().filter(|report| report.failed > 0).count();
+    let mut text = format!("{moment:?}: {failed} of {} rows failed", ROWS.len());
+    for (row, report) in ROWS.iter().zip(&reports) {
+        let RowReport { failed, evidence } = report;
+        text += &format!(
+            "\n  {}: {failed} of {plays} plays failed{evidence}",
+            row.name
+        );
+    }
+    println!("{text}");
+    assert_eq!(failed, 0, "{moment:?}: the rows printed above failed");
+}
+
+fn play_count() -> usize {
+    std::env::var(PLAYS_VARIABLE)
+        .ok()
+        .and_then(|plays| plays.parse().ok())
+        .unwrap_or(DEFAULT_PLAYS)
+}
+
+fn play_all(moment: Moment, plays: usize) -> Vec<RowReport> {
+    let next = AtomicUsize::new(0);
+    let reports = Mutex::new(
+        ROWS.iter()
+            .map(|_| RowReport::default())
+            .collect::<Vec<_>>(),
+    );
+    thread::scope(|scope| {
+        for _ in 0..PLAYS_AT_ONCE {
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                let (row, play) = (number % ROWS.len(), number / ROWS.len());
+                if play >= plays {
+                    return;
+                }
+                let seed = seed_of(moment, row, play);
+                let result = Play::new(&ROWS[row], moment, seed).run(moment);
+                let mut reports = reports.lock().expect("no panic");
+                add_result(&mut reports[row], &ROWS[row], seed, &result);
+            });
+        }
+    });
+    reports.into_inner().expect("no panic")
+}
+
+/// A seed that no other play has.
+fn seed_of(moment: Moment, row: usize, play: usize) -> u64 {
+    (((moment as usize) << 8 | row) << 16 | play) as u64
+}
+
+fn add_result(report: &mut RowReport, row: &Row, seed: u64, result: &PlayResult) {
+    if result.failures.is_empty() {
+        return;
+    }
+    report.failed += 1;
+    println!("{} seed {seed:#x}: {:?}", row.name, result.failures);
+    if report.evidence.is_empty() {
+        let skipped = result.log.len().saturating_sub(REPORTED_LOG_LINES);
+        report.evidence = format!(
+            ", first {:?}, requests {:?}, log {:#?}",
+            result.failures,
+            result.tally,
+            &result.log[skipped..]
+        );
+    }
+}
--- /dev/null
+++ b/balancer/tests/inherited_signals.rs
@@ -0,0 +1,74 @@
+//! Signals that the parent of the balancer has blocked or ignores, as a supervisor or `nohup` may.
+// A helper that fails ends its test, as an assertion does.
+#![allow(clippy::expect_used)]
+mod common;
+
+use common::*;
+use nix::sys::signal::{SigSet, Signal};
+use std::process::Command;
+use std::thread;
+
+/// The command of a balancer with an admin endpoint, its configuration and its discovery.
+fn prepare_balancer(command_for: impl Fn(&str) -> Command) -> (Command, String, StubDiscovery) {
+    let discovery = StubDiscovery::start();
+    let config = with_admin_endpoint(&balancer_config(discovery.address, 1024, "null"));
+    (command_for(&config), config, discovery)
+}
+
+/// A balancer whose parent has blocked all signals that it follows, and its configuration.
+fn start_with_signals_blocked() -> (BalancerProcess, String) {
+    let (command, config, discovery) = prepare_balancer(balancer_command);
+    // A process inherits the signals that are blocked in the thread that starts it.
+    let starter = thread::spawn(move || {
+        let followed = [Signal::SIGHUP, Signal::SIGTERM, Signal::SIGINT];
+        let blocked: SigSet = followed.into_iter().collect();
+        blocked.thread_block().expect("blocks the signals");
+        BalancerProcess::run(command, discovery)
+    });
+    (starter.join().expect("starts"), config)
+}
+
+/// A balancer whose parent ignores all signals that it follows, and its configuration.
+fn start_with_signals_ignored() -> (BalancerProcess, String) {
+    let (command, config, discovery) = prepare_balancer(balancer_command_ignoring_signals);
+    (BalancerProcess::run(command, discovery), config)
+}
+
+fn assert_reloads_and_ends_at_sigterm((mut balancer, config): (BalancerProcess, String)) {
+    balancer.reload(&config);
+    balancer.wait_for_metric("node_config_applied 1");
+    balancer.reload(&config);
+    balancer.wait_for_metric("node_config_applied 2");
+    balancer.terminate();
+    assert_eq!(balancer.wait_for_exit_in_time().code(), Some(0));
+}
+
+fn assert_ends_at_sigint((mut balancer, _config): (BalancerProcess, String)) {
+    balancer.interrupt();
+    assert_eq!(balancer.wait_for_exit_in_time().code(), Some(0));
+}
+
+/// Guards against a process that waits for signals its parent has blocked.
+#[test]
+fn reloads_and_ends_at_sigterm_if_its_parent_blocked_the_signals() {
+    assert_reloads_and_ends_at_sigterm(start_with_signals_blocked());
+}
+
+/// Guards against a process that waits for SIGINT its parent has blocked.
+#[test]
+fn ends_at_sigint_if_its_parent_blocked_the_signals() {
+    assert_ends_at_sigint(start_with_signals_blocked());
+}
+
+/// Guards against a process that never sees signals its parent ignores: the system discards an ignored signal before it
+/// can be read.
+#[test]
+fn reloads_and_ends_at_sigterm_if_its_parent_ignored_the_signals() {
+    assert_reloads_and_ends_at_sigterm(start_with_signals_ignored());
+}
+
+/// Guards against a process that never sees SIGINT because its parent ignores it, as a shell does for background jobs.
+#[test]
+fn ends_at_sigint_if_its_parent_ignored_the_signals() {
+    assert_ends_at_sigint(start_with_signals_ignored());
+}
