Let long runs of failing_calls play more cases at once

Cause: 100 plays of each row take 50 minutes with six plays at once, most of which is waiting.

Change: FAILING_CALLS_AT_ONCE sets the plays at once; the default stays six.

--- a/balancer/tests/failing_calls.rs
+++ b/balancer/tests/failing_calls.rs
@@ -2,7 +2,7 @@
 //!
 //! A preloaded library makes the calls fail. Each test plays all rows of [`rows::ROWS`] at one moment, and expects that
 //! the balancer becomes ready, answers every request, follows its signals, violates no invariant and exits with code 0
-//! in time. `FAILING_CALLS_PLAYS=100` plays each row that often.
+//! in time. `FAILING_CALLS_PLAYS=100` plays each row that often, and `FAILING_CALLS_AT_ONCE` sets the plays at once.
 // A helper that fails ends its test, as an assertion does.
 #![allow(clippy::expect_used)]
 mod common;
--- a/balancer/tests/failing_calls/runner.rs
+++ b/balancer/tests/failing_calls/runner.rs
@@ -8,8 +8,10 @@
 /// Name of the environment variable with the number of plays of each row.
 const PLAYS_VARIABLE: &str = "FAILING_CALLS_PLAYS";
 const DEFAULT_PLAYS: usize = 1;
-/// Plays at once. They wait most of the time.
-const PLAYS_AT_ONCE: usize = 6;
+/// Name of the environment variable with the number of plays at once.
+const PLAYS_AT_ONCE_VARIABLE: &str = "FAILING_CALLS_AT_ONCE";
+/// Plays wait most of the time: six of them use a third of a processor.
+const DEFAULT_PLAYS_AT_ONCE: usize = 6;
 /// How many lines of the log of a failed play are reported.
 const REPORTED_LOG_LINES: usize = 4;
 
@@ -27,7 +29,7 @@
 /// Plays all rows at this moment.
 pub fn assert_all_rows_survive(moment: Moment) {
     let _run = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-    let plays = play_count();
+    let plays = number_from(PLAYS_VARIABLE, DEFAULT_PLAYS);
     let reports = play_all(moment, plays);
     let failed = reports.iter().filter(|report| report.failed > 0).count();
     let mut text = format!("{moment:?}: {failed} of {} rows failed", ROWS.len());
@@ -42,11 +44,12 @@
     assert_eq!(failed, 0, "{moment:?}: the rows printed above failed");
 }
 
-fn play_count() -> usize {
-    std::env::var(PLAYS_VARIABLE)
+/// The number in an environment variable.
+fn number_from(variable: &str, default: usize) -> usize {
+    std::env::var(variable)
         .ok()
-        .and_then(|plays| plays.parse().ok())
-        .unwrap_or(DEFAULT_PLAYS)
+        .and_then(|number| number.parse().ok())
+        .unwrap_or(default)
 }
 
 fn play_all(moment: Moment, plays: usize) -> Vec<RowReport> {
@@ -57,7 +60,7 @@
             .collect::<Vec<_>>(),
     );
     thread::scope(|scope| {
-        for _ in 0..PLAYS_AT_ONCE {
+        for _ in 0..number_from(PLAYS_AT_ONCE_VARIABLE, DEFAULT_PLAYS_AT_ONCE) {
             scope.spawn(|| loop {
                 let number = next.fetch_add(1, Ordering::Relaxed);
                 let (row, play) = (number % ROWS.len(), number / ROWS.len());
