Keep the process alive where a log line cannot be written

Callers: a balancer whose standard error is a pipe without a reader, or on a full disk, ended with exit 101 at its next log line, and with it all requests in flight.

Cause: `eprintln!` panics if the write fails (EPIPE, EIO, ENOSPC), and so does the subscriber of structured events when it reports its own error.

Change: plain lines go through `telemetry::log::log_line!`, which drops a line that cannot be written; the subscriber does not report its errors; clippy rejects `eprintln!` and `println!` in the crate.

--- a/balancer/src/admin/override_sync.rs
+++ b/balancer/src/admin/override_sync.rs
@@ -4,6 +4,7 @@
 use crate::admin::overrides::Overrides;
 use crate::control::driver::DriverHandle;
 use crate::phase::Phase;
+use crate::telemetry::log::log_line;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -64,7 +65,7 @@
 
     fn log_read_error(&self, error: &OverrideReadError) {
         if !self.last_read_failed.replace(true) {
-            eprintln!("overrides: {error}: ignored");
+            log_line!("overrides: {error}: ignored");
         }
     }
 
--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -5,6 +5,7 @@
 use crate::control::driver::DriverHandle;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::phase::Phase;
+use crate::telemetry::log::log_line;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,7 +62,7 @@
         if self.try_lock_process().await {
             return;
         }
-        eprintln!("another process of this balancer serves");
+        log_line!("another process of this balancer serves");
         self.sockets.yield_half().await;
         // Without an update by then the cached list is used: waiting longer would not bring one sooner.
         let _ = timeout(ENDPOINT_LIST_TIMEOUT, self.driver.endpoints_notified()).await;
@@ -70,7 +71,7 @@
     /// Reports to the predecessor that this process serves from now on, and starts to follow the other processes.
     pub async fn serve(self: &Rc<ProcessCoordinator>) {
         if let Err(error) = self.register().await {
-            eprintln!("{error}: will be retried");
+            log_line!("{error}: will be retried");
         }
         let phase = if self.overrides.is_paused() {
             Phase::Paused
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -7,6 +7,7 @@
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::{is_resource_shortage, ConnectionPermit, DescriptorBudget};
 use crate::phase::Phase;
+use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
 use balancer_settings::Deployment;
 use std::cell::Cell;
@@ -148,7 +149,7 @@
     /// disconnected at once.
     async fn handle_accept_error(&mut self, error: &io::Error) {
         if !self.is_failing {
-            eprintln!("accept: {error}");
+            log_line!("accept: {error}");
         }
         self.is_failing = true;
         if is_resource_shortage(error) {
--- a/balancer/src/invariants.rs
+++ b/balancer/src/invariants.rs
@@ -4,6 +4,7 @@
 //! connection. What it denies is not done. It counts each violation by [`Rule`] and logs it; operators read the counts
 //! among the metrics. In a correct program every count stays zero.
 use crate::telemetry::guard_counts::{Denial, Rule};
+use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
 use balancer_core::{AttemptOutcome, Idempotency, Millis};
 use std::rc::Rc;
@@ -181,7 +182,7 @@
 
     fn record_violation(&self, rule: Rule, request: &str) {
         self.0.guard().record_violation(rule);
-        eprintln!("invariant violated: {}: request {request}", rule.name());
+        log_line!("invariant violated: {}: request {request}", rule.name());
     }
 }
 
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -18,6 +18,9 @@
 //!
 //! Imports go one way: `process`, `inbound` and `admin` use `control`, which uses `outbound` and `discovery`; all of them
 //! may use the last three rows.
+// `eprintln!` panics where standard error cannot be written: see `telemetry::log`.
+#![cfg_attr(not(test), warn(clippy::print_stderr, clippy::print_stdout))]
+
 pub mod discovery;
 pub mod hollow;
 pub mod process;
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -22,6 +22,7 @@
 use crate::process::shutdown::Shutdown;
 use crate::process::shutdown_schedule::ShutdownSchedule;
 use crate::process::signals::Signals;
+use crate::telemetry::log::log_line;
 use crate::telemetry::log::{start_events, LogOutput};
 use crate::telemetry::metrics::Metrics;
 use balancer_core::{Millis, SettingsError};
@@ -50,7 +51,7 @@
     let Err(error) = run_on_one_thread() else {
         return ExitCode::SUCCESS;
     };
-    eprintln!("balancer: {}", error.to_string().replace('\n', " "));
+    log_line!("balancer: {}", error.to_string().replace('\n', " "));
     ExitCode::FAILURE
 }
 
@@ -142,7 +143,7 @@
             Some(coordinator) => coordinator.serve().await,
             None => drop(parts.phase.send_replace(Phase::Serving)),
         }
-        eprintln!("{}: serving on {address}", config.name);
+        log_line!("{}: serving on {address}", config.name);
         Ok(ServingProcess {
             config,
             parts,
@@ -155,7 +156,7 @@
 
     /// Shuts down: serves the clients to the end, for as long as the schedule allows.
     async fn shut_down(self) {
-        eprintln!("{}: shutdown requested", self.config.name);
+        log_line!("{}: shutdown requested", self.config.name);
         let shutdown = Shutdown {
             name: &self.config.name,
             requested_at: Instant::now(),
@@ -176,7 +177,7 @@
         Ok(snapshot) => snapshot.as_ref(),
         Err(error) => {
             let message = error.to_string().replace('\n', " ");
-            eprintln!("{}: known: {message}: ignored", config.name);
+            log_line!("{}: known: {message}: ignored", config.name);
             None
         }
     }
@@ -247,7 +248,7 @@
         return Ok(None);
     };
     let address = listener.local_addr().map_err(ProgramError::AdminAddress)?;
-    eprintln!("{}: admin endpoint listens on {address}", config.name);
+    log_line!("{}: admin endpoint listens on {address}", config.name);
     let overrides = OverrideSync::new(
         handle.clone(),
         parts.phase.clone(),
--- a/balancer/src/process/reload.rs
+++ b/balancer/src/process/reload.rs
@@ -1,5 +1,6 @@
 //! Reloads of the configuration while the process runs.
 use crate::process::config_file::load_config;
+use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,7 +30,7 @@
             }
             Err(error) => {
                 let message = error.to_string().replace('\n', " ");
-                eprintln!("balancer: not reloaded: {message}");
+                log_line!("balancer: not reloaded: {message}");
             }
         }
     }
--- a/balancer/src/process/shutdown.rs
+++ b/balancer/src/process/shutdown.rs
@@ -3,6 +3,7 @@
 use crate::control::driver::DriverHandle;
 use crate::phase::Phase;
 use crate::process::shutdown_schedule::{ShutdownSchedule, ACCEPT_PERIOD};
+use crate::telemetry::log::log_line;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinHandle};
@@ -59,13 +60,13 @@
             let name = self.name;
             let active = handle.active_requests();
             if active == 0 || check_at >= self.requested_at + MAX_RELAY_PERIOD {
-                eprintln!(
+                log_line!(
                     "{name}: clients are still connected at the end, {active} responses cut off"
                 );
                 return;
             }
             if check_at == exit_at {
-                eprintln!("{name}: {active} responses are still being relayed");
+                log_line!("{name}: {active} responses are still being relayed");
             }
             check_at += RELAY_CHECK_INTERVAL;
         }
--- a/balancer/src/telemetry/log.rs
+++ b/balancer/src/telemetry/log.rs
@@ -1,4 +1,6 @@
 //! Plain log lines, and structured events that report what happened to each request.
+use std::fmt::Arguments;
+use std::io::{self, Write};
 use std::str::FromStr;
 use thiserror::Error;
 use tracing::Level;
@@ -6,6 +8,22 @@
 /// The environment variable that turns structured events on.
 const LEVEL_VARIABLE: &str = "NODE_LOG";
 
+/// Writes one line to standard error, with the arguments of [`format!`].
+macro_rules! log_line {
+    ($($argument:tt)*) => {
+        $crate::telemetry::log::write_line(format_args!($($argument)*))
+    };
+}
+pub(crate) use log_line;
+
+/// Writes one line to standard error. A line that cannot be written is lost: `eprintln!` would panic
+/// where standard error is a pipe without a reader, or a full disk.
+pub(crate) fn write_line(line: Arguments<'_>) {
+    // One write for the whole line, so that lines of several processes do not mix.
+    let line = format!("{line}\n");
+    let _ = io::stderr().write_all(line.as_bytes());
+}
+
 /// Where a balancer's plain log lines go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogOutput {
@@ -20,7 +38,7 @@
     /// Writes one line.
     pub fn write_line(self, line: &str) {
         match self {
-            LogOutput::StandardError => eprintln!("{line}"),
+            LogOutput::StandardError => log_line!("{line}"),
             LogOutput::Discard => {}
         }
     }
@@ -51,12 +69,14 @@
             let subscriber = tracing_subscriber::fmt()
                 .json()
                 .with_max_level(level)
-                .with_writer(std::io::stderr)
+                .with_writer(io::stderr)
+                // An event that cannot be written is lost; reporting that would panic.
+                .log_internal_errors(false)
                 .finish();
             // Fails only for a second subscriber in the same process; the first one stays.
             let _ = tracing::subscriber::set_global_default(subscriber);
         }
-        Err(unknown) => eprintln!("{name}: {unknown}"),
+        Err(unknown) => log_line!("{name}: {unknown}"),
     }
 }
 
