Read signals and timers from descriptors of our own; let nothing wake the loop by a write

Cause: two places of the runtime panic. Its signal driver does so if the read of its own pipe fails ("Bad read on self-pipe"), its I/O driver if the write to the event counter that wakes the loop does ("failed to wake I/O driver"). That write is on the ordinary path: a timer earlier than the next one, a wake of the outer task set, and each result of the blocking pool make it.

Change: signals are blocked and read by signalfd; timers are a queue fired by a timerfd (`time`); a local runtime without timers of its own replaces the task set, so that wakes of the loop's thread make no call; work that blocks on the disk runs on a thread whose end the loop learns by the end of a pipe. Each of these errors is handled here: interrupted calls are repeated, failed ones tried again. clippy rejects the runtime's timers and blocking pool.

--- a/balancer/src/admin/mod.rs
+++ b/balancer/src/admin/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod server;
 
 mod command;
+mod disk_worker;
 mod override_error;
 mod overrides;
 mod response;
--- a/balancer/src/admin/override_error.rs
+++ b/balancer/src/admin/override_error.rs
@@ -1,8 +1,8 @@
 //! Errors of the override store.
+use crate::admin::disk_worker::DiskWorkerError;
 use std::io;
 use std::path::PathBuf;
 use thiserror::Error;
-use tokio::task::JoinError;
 
 /// Why the overrides were not read.
 #[derive(Debug, Error)]
@@ -59,7 +59,7 @@
         /// The system's error.
         source: io::Error,
     },
-    /// The task that waited for the disk failed.
-    #[error("{0}")]
-    Task(#[from] JoinError),
+    /// The job that stores it did not run, or failed.
+    #[error("the order is not kept: {0}")]
+    Worker(#[from] DiskWorkerError),
 }
--- a/balancer/src/admin/override_sync.rs
+++ b/balancer/src/admin/override_sync.rs
@@ -1,4 +1,5 @@
 //! Puts the stored overrides in force, whichever process of this balancer they were set at.
+use crate::admin::disk_worker::{DiskWorker, DiskWorkerError};
 use crate::admin::override_error::{OverrideError, OverrideReadError};
 use crate::admin::override_store::{OverrideStore, ProcessLock};
 use crate::admin::overrides::Overrides;
@@ -8,13 +9,13 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::watch;
-use tokio::task::JoinError;
 
 /// Keeps the overrides in force in step with the store.
 pub struct OverrideSync {
     driver: DriverHandle,
     phase: Rc<watch::Sender<Phase>>,
     store: OverrideStore,
+    worker: DiskWorker,
     /// The overrides in force.
     applied: RefCell<Overrides>,
     /// Whether the last read failed. An error is logged only once.
@@ -32,6 +33,7 @@
             driver,
             phase,
             store,
+            worker: DiskWorker::default(),
             applied: RefCell::default(),
             last_read_failed: Cell::new(false),
         })
@@ -89,9 +91,9 @@
     async fn on_disk<T: Send + 'static>(
         &self,
         work: impl FnOnce(OverrideStore) -> T + Send + 'static,
-    ) -> Result<T, JoinError> {
+    ) -> Result<T, DiskWorkerError> {
         let store = self.store.clone();
-        tokio::task::spawn_blocking(move || work(store)).await
+        self.worker.run(move || work(store)).await
     }
 
     fn apply(&self, overrides: Overrides) {
--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -6,11 +6,12 @@
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
+use crate::time::{sleep, timeout};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
 /// How often the store is read. It is much shorter than the grace period of a suspension.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
--- a/balancer/src/admin/server.rs
+++ b/balancer/src/admin/server.rs
@@ -6,6 +6,7 @@
 use crate::net::socket_io::Socket;
 use crate::phase::Phase;
 use crate::telemetry::metrics::Metrics;
+use crate::time::{sleep, timeout};
 use balancer_core::Millis;
 use std::collections::VecDeque;
 use std::io;
@@ -15,7 +16,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
 
 /// Most connections at once. One more replaces the oldest.
 const MAX_CONNECTIONS: usize = 16;
--- a/balancer/src/body/paced_body.rs
+++ b/balancer/src/body/paced_body.rs
@@ -1,13 +1,14 @@
 //! Reading of a client's request body, with a limit on the time spent waiting for the client.
 use crate::body::body_error::BodyError;
 use crate::body::limits::MAX_BODY_BYTES;
+use crate::time::{sleep, Sleep};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::Instant;
 
 /// Longest time spent waiting for the client in one request, without the allowance for its body's
 /// size.
--- a/balancer/src/body/paced_body/tests.rs
+++ b/balancer/src/body/paced_body/tests.rs
@@ -27,8 +27,9 @@
         };
         Ok::<_, Infallible>(Response::new(format!("{received} {end}")))
     });
-    let connection =
-        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+    let connection = tokio::task::spawn_local(
+        http1::Builder::new().serve_connection(TokioIo::new(server), service),
+    );
     let head = format!("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
     client.write_all(head.as_bytes()).await.expect("takes it");
     send(&mut client).await;
@@ -46,7 +47,7 @@
 }
 
 /// 64 kB per second, after a head that took 2 s.
-#[tokio::test(start_paused = true)]
+#[tokio::test(flavor = "local", start_paused = true)]
 async fn reads_a_body_that_arrives_at_the_promised_minimum_rate() {
     let end = read_body(640_000, Duration::from_secs(2), async |client| {
         for _ in 0..40 {
@@ -57,7 +58,7 @@
     assert_eq!(end.await, "640000 complete");
 }
 
-#[tokio::test(start_paused = true)]
+#[tokio::test(flavor = "local", start_paused = true)]
 async fn times_out_when_the_body_stops_arriving() {
     let start = Instant::now();
     assert_eq!(
@@ -83,7 +84,7 @@
 }
 
 /// Only waiting for the client counts, not the time in which the balancer does not read.
-#[tokio::test(start_paused = true)]
+#[tokio::test(flavor = "local", start_paused = true)]
 async fn does_not_count_time_in_which_the_balancer_does_not_read() {
     let (mut client, server) = tokio::io::duplex(1 << 20);
     let service = service_fn(|request: Request<Incoming>| async move {
@@ -95,8 +96,9 @@
         }
         Ok::<_, Infallible>(Response::new(received.to_string()))
     });
-    let connection =
-        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+    let connection = tokio::task::spawn_local(
+        http1::Builder::new().serve_connection(TokioIo::new(server), service),
+    );
     let head = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n";
     client.write_all(head.as_bytes()).await.expect("takes it");
     client.write_all(&[0; 100_000]).await.expect("takes it");
--- a/balancer/src/body/request_body.rs
+++ b/balancer/src/body/request_body.rs
@@ -2,6 +2,7 @@
 use crate::body::body_error::BodyError;
 use crate::body::upload::Upload;
 use crate::net::shared_stream::WriteProgress;
+use crate::time::{sleep, Sleep};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::Cell;
@@ -10,7 +11,6 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, Sleep};
 
 /// The body of a request that is forwarded.
 #[derive(Clone)]
--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -1,6 +1,7 @@
 //! Response bodies: complete ones, and large ones that are relayed from an upstream to a client.
 use crate::body::limits::BODY_STALL_TIMEOUT;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
+use crate::time::timeout;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
@@ -39,10 +40,10 @@
 impl BodySender {
     /// Passes a chunk on once there is space in the queue.
     pub async fn send(&self, chunk: Bytes) -> Result<(), ClientNotReading> {
-        self.chunks
-            .send_timeout(chunk, BODY_STALL_TIMEOUT)
-            .await
-            .map_err(|_| ClientNotReading)
+        match timeout(BODY_STALL_TIMEOUT, self.chunks.send(chunk)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(ClientNotReading),
+        }
     }
 
     /// Marks the body as complete.
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -2,12 +2,13 @@
 use crate::body::body_error::BodyError;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BUFFERED_BODY_BYTES};
 use crate::body::paced_body::PacedBody;
+use crate::time::sleep;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, Instant};
+use tokio::time::Instant;
 
 /// Interval between two checks for a stalled body.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
--- a/balancer/src/control/driver/event_loop.rs
+++ b/balancer/src/control/driver/event_loop.rs
@@ -5,9 +5,10 @@
 use crate::control::driver_state::DriverState;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::FinalResponse;
+use crate::time::sleep_until;
 use balancer_core::{Action, AttemptOutcome, Event};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 impl DriverHandle {
     /// Fires timers forever.
--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -1,6 +1,7 @@
 //! Calls to discovery over one connection.
 use crate::discovery::endpoints::{EndpointListError, EndpointUpdate, TopologyNames};
 use crate::net::socket_io::Socket;
+use crate::time::timeout;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
@@ -13,7 +14,6 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
 /// Time to connect. It is short, so that a failed attempt to connect leaves time for the call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/balancer/src/discovery/watch.rs
+++ b/balancer/src/discovery/watch.rs
@@ -7,11 +7,12 @@
 use crate::discovery::consumer::{CallFailure, EndpointConsumer};
 use crate::discovery::endpoints::{EndpointUpdate, TopologyNames};
 use crate::telemetry::log::LogOutput;
+use crate::time::{sleep, timeout};
 use balancer_settings::Deployment;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
 pub use crate::discovery::call_timeouts::POLL_ACKNOWLEDGE_TIMEOUT;
 
--- a/balancer/src/inbound/client_connection.rs
+++ b/balancer/src/inbound/client_connection.rs
@@ -3,12 +3,13 @@
 use crate::inbound::idle_connections::{ConnectionKind, IdleConnections, IdleKey};
 use crate::inbound::request_tracker::RequestTracker;
 use crate::net::shared_stream::SharedStream;
+use crate::time::sleep_until;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 /// A client that has had a response may keep its connection unused for this long.
 const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/balancer/src/inbound/connection_task.rs
+++ b/balancer/src/inbound/connection_task.rs
@@ -7,6 +7,7 @@
 use crate::net::descriptor_budget::ConnectionPermit;
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use crate::telemetry::metrics::CloseReason;
+use crate::time::{sleep, timeout};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, HttpService};
@@ -17,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::time::{sleep, timeout};
 
 /// During shutdown, a connection that has been idle for this long is closed, and is checked as
 /// often. On one that was idle for less, the next request may be on its way, and its response ends
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -9,6 +9,7 @@
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
+use crate::time::{sleep, timeout};
 use balancer_settings::Deployment;
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
 /// Pause after an accept that failed, for example because of a shortage of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -13,13 +13,20 @@
 //! | `outbound` | endpoints, connections to upstreams, attempts |
 //! | `discovery` | the discovery client and endpoint lists |
 //! | `invariants` | the guard that checks what must always hold, before an attempt starts, is written or is answered |
-//! | `phase`, `clock` | the phase of the process; time |
+//! | `phase`, `clock`, `time` | the phase of the process; time; waiting |
 //! | `body`, `net`, `telemetry` | bodies; sockets and descriptors; metrics and log events |
 //!
 //! Imports go one way: `process`, `inbound` and `admin` use `control`, which uses `outbound` and `discovery`; all of them
 //! may use the last three rows.
 // `eprintln!` panics where standard error cannot be written: see `telemetry::log`.
 #![cfg_attr(not(test), warn(clippy::print_stderr, clippy::print_stdout))]
+#![cfg_attr(
+    test,
+    allow(
+        clippy::disallowed_methods,
+        reason = "tests wait by the runtime's clock, which they can pause"
+    )
+)]
 
 pub mod discovery;
 pub mod hollow;
@@ -35,6 +42,7 @@
 mod net;
 mod outbound;
 mod phase;
+mod time;
 
 #[cfg(test)]
 mod test_support;
--- a/balancer/src/net/mod.rs
+++ b/balancer/src/net/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod retry_io;
 pub(crate) mod shared_stream;
 pub(crate) mod socket_io;
+pub(crate) mod watched_descriptor;
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -14,6 +14,7 @@
 };
 use crate::outbound::response_relay::{buffer_body, declares_large_body, BufferedBody, Relay};
 use crate::outbound::reuse_lease::ReuseLease;
+use crate::time::timeout;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -24,7 +25,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 /// How long a request's body is held back on a connection that was idle. The reset of a stale
 /// connection arrives within this time, and a request whose last byte is unwritten has not run and
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -4,6 +4,7 @@
 use crate::outbound::connection_pool::{Connection, PooledConnection, Upstream};
 use crate::outbound::surplus_reporter::SurplusReporter;
 use crate::telemetry::upstream_counts::UpstreamCounts;
+use crate::time::{sleep_until, timeout_at};
 use balancer_core::AttemptOutcome;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, error::SendError};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Subtracted from an upstream's idle timeout: a request on a connection that the upstream is about
 /// to close ends as a reset, and the upstream counts from its last byte, not from when it was read
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -3,12 +3,13 @@
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::BodySender;
 use crate::outbound::response_outcome::outcome_of_read_error;
+use crate::time::timeout_at;
 use balancer_core::AttemptOutcome;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Longest time that a body of undeclared length is buffered before it counts as large.
 const UNDECLARED_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -19,9 +19,10 @@
 use crate::process::config_file::load_config;
 use crate::process::program_error::ProgramError;
 use crate::process::reload::follow_reloads;
+use crate::process::runtime::start_runtime;
 use crate::process::shutdown::Shutdown;
 use crate::process::shutdown_schedule::ShutdownSchedule;
-use crate::process::signals::Signals;
+use crate::process::signals::{SignalStream, Signals};
 use crate::telemetry::log::log_line;
 use crate::telemetry::log::{start_events, LogOutput};
 use crate::telemetry::metrics::Metrics;
@@ -34,9 +35,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::Signal;
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, LocalSet};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// Connections that may wait to be accepted.
@@ -56,11 +56,11 @@
 }
 
 fn run_on_one_thread() -> Result<(), ProgramError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(ProgramError::Runtime)?;
-    LocalSet::new().block_on(&runtime, run())
+    // Before anything else: a signal that is not blocked ends the process.
+    Signals::block()?;
+    start_runtime(STARTUP_RETRY_LIMIT)
+        .map_err(ProgramError::Runtime)?
+        .block_on(run())
 }
 
 /// What several parts of the process share.
@@ -103,12 +103,8 @@
 }
 
 async fn run() -> Result<(), ProgramError> {
-    // Before anything else: a signal that is not caught ends the process.
-    let Signals {
-        hangup,
-        mut shutdown,
-    } = Signals::catch()?;
-    let mut process = ServingProcess::start(hangup).await?;
+    let Signals { reload, shutdown } = Signals::open(STARTUP_RETRY_LIMIT).await?;
+    let mut process = ServingProcess::start(reload).await?;
     tokio::select! {
         () = shutdown.received() => {}
         // Without timers no request would end. A process that exits is noticed at once.
@@ -119,8 +115,8 @@
 }
 
 impl ServingProcess {
-    /// Starts all parts of the process. Each hangup signal reloads the configuration.
-    async fn start(hangup: Signal) -> Result<ServingProcess, ProgramError> {
+    /// Starts all parts of the process. Each `reload` signal reloads the configuration.
+    async fn start(reload: SignalStream) -> Result<ServingProcess, ProgramError> {
         let clock = Clock::start();
         let config = load_config(STARTUP_RETRY_LIMIT).await?;
         start_events(&config.name);
@@ -133,7 +129,7 @@
             timers,
             discovery,
         } = start_control_plane(&config, clock, cached_snapshot, addresses, &parts)?;
-        let reloads = follow_reloads(hangup, discovery_address, parts.metrics.clone());
+        let reloads = follow_reloads(reload, discovery_address, parts.metrics.clone());
         tokio::task::spawn_local(reloads);
         tokio::task::spawn_local(discovery.run(handle.clone()));
         let coordinator = start_admin(&config, admin_listener, &handle, &parts).await?;
--- a/balancer/src/process/program_error.rs
+++ b/balancer/src/process/program_error.rs
@@ -12,7 +12,7 @@
     /// The runtime could not be built.
     #[error("{0}")]
     Runtime(#[source] io::Error),
-    /// Signals could not be caught.
+    /// Signals could not be received.
     #[error("{0}")]
     Signals(#[source] io::Error),
     /// The configuration was not loaded.
--- a/balancer/src/process/reload.rs
+++ b/balancer/src/process/reload.rs
@@ -1,11 +1,11 @@
 //! Reloads of the configuration while the process runs.
 use crate::process::config_file::load_config;
+use crate::process::signals::SignalStream;
 use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 /// How long reading the file is retried: much shorter than the time after which a migration counts as notified.
@@ -14,11 +14,12 @@
 /// Reloads the configuration at each signal. Only discovery's address can change while the process runs. A file that
 /// is invalid or cannot be read changes nothing.
 pub async fn follow_reloads(
-    mut hangup: Signal,
+    reload: SignalStream,
     discovery_address: watch::Sender<SocketAddr>,
     metrics: Rc<Metrics>,
 ) {
-    while hangup.recv().await.is_some() {
+    loop {
+        reload.received().await;
         let loaded = load_config(READ_RETRY_LIMIT).await;
         metrics.record_reload(loaded.is_ok());
         match loaded {
--- a/balancer/src/process/shutdown.rs
+++ b/balancer/src/process/shutdown.rs
@@ -4,10 +4,11 @@
 use crate::phase::Phase;
 use crate::process::shutdown_schedule::{ShutdownSchedule, ACCEPT_PERIOD};
 use crate::telemetry::log::log_line;
+use crate::time::{sleep_until, timeout_at};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinHandle};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::Instant;
 
 /// How often the end of relayed responses is checked.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/balancer/src/process/signals.rs
+++ b/balancer/src/process/signals.rs
@@ -1,44 +1,77 @@
-//! The signals that the process catches.
+//! The signals that the process handles, read from descriptors of its own.
+//!
+//! The signals are blocked, so that the system keeps them until they are read. A failed read is
+//! repeated, and loses nothing.
+use crate::net::retry_io::retry_io;
+use crate::net::watched_descriptor::WatchedDescriptor;
 use crate::process::program_error::ProgramError;
-use tokio::signal::unix::{signal, Signal, SignalKind};
-
-/// The signals that the process catches.
-pub struct Signals {
-    /// Reloads the configuration.
-    pub hangup: Signal,
-    /// Shuts the process down.
-    pub shutdown: ShutdownSignals,
-}
+use crate::telemetry::log::log_line;
+use crate::time::sleep;
+use nix::sys::signal::{SigSet, Signal};
+use nix::sys::signalfd::{SfdFlags, SignalFd};
+use std::io;
+use std::time::Duration;
 
 /// The signals that shut the process down.
-pub struct ShutdownSignals {
-    terminate: Signal,
-    interrupt: Signal,
+const SHUTDOWN_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+/// The signals that reload the configuration.
+const RELOAD_SIGNALS: [Signal; 1] = [Signal::SIGHUP];
+/// Pause after a read that failed.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// The signals that the process handles.
+pub struct Signals {
+    /// Reload the configuration.
+    pub reload: SignalStream,
+    /// Shut the process down.
+    pub shutdown: SignalStream,
 }
 
 impl Signals {
-    /// Catches the signals from now on.
-    pub fn catch() -> Result<Signals, ProgramError> {
+    /// Blocks the signals for this thread and those that it starts: from now on none of them ends
+    /// the process, and each is kept until it is read.
+    pub fn block() -> Result<(), ProgramError> {
+        let handled: SigSet = RELOAD_SIGNALS.into_iter().chain(SHUTDOWN_SIGNALS).collect();
+        handled
+            .thread_block()
+            .map_err(|error| ProgramError::Signals(error.into()))
+    }
+
+    /// Opens the descriptors from which the signals are read. Repeats this for `retry_limit` while
+    /// the system fails.
+    pub async fn open(retry_limit: Duration) -> Result<Signals, ProgramError> {
+        let open =
+            |signals: &'static [Signal]| retry_io(retry_limit, || SignalStream::open(signals));
         Ok(Signals {
-            hangup: catch(SignalKind::hangup())?,
-            shutdown: ShutdownSignals {
-                terminate: catch(SignalKind::terminate())?,
-                interrupt: catch(SignalKind::interrupt())?,
-            },
+            reload: open(&RELOAD_SIGNALS).await.map_err(ProgramError::Signals)?,
+            shutdown: open(&SHUTDOWN_SIGNALS)
+                .await
+                .map_err(ProgramError::Signals)?,
         })
     }
 }
 
-impl ShutdownSignals {
-    /// Waits for one of the signals.
-    pub async fn received(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+/// Some blocked signals, in the order in which they arrive.
+pub struct SignalStream(WatchedDescriptor<SignalFd>);
+
+impl SignalStream {
+    fn open(signals: &[Signal]) -> io::Result<SignalStream> {
+        let signals: SigSet = signals.iter().copied().collect();
+        let flags = SfdFlags::SFD_NONBLOCK | SfdFlags::SFD_CLOEXEC;
+        let descriptor = SignalFd::with_flags(&signals, flags)?;
+        Ok(SignalStream(WatchedDescriptor::new(descriptor)?))
+    }
+
+    /// Waits for the next signal.
+    pub async fn received(&self) {
+        while let Err(error) = self.0.read(read_signal).await {
+            log_line!("signals: {error}");
+            sleep(READ_RETRY_DELAY).await;
         }
     }
 }
 
-fn catch(kind: SignalKind) -> Result<Signal, ProgramError> {
-    signal(kind).map_err(ProgramError::Signals)
+fn read_signal(descriptor: &SignalFd) -> io::Result<()> {
+    let signal = descriptor.read_signal()?;
+    signal.map(drop).ok_or(io::ErrorKind::WouldBlock.into())
 }
--- a/balancer/tests/hollow.rs
+++ b/balancer/tests/hollow.rs
@@ -1,6 +1,8 @@
 //! Hollow balancers in one process against a simulated discovery on a loopback port.
 // A helper that fails ends its test, as an assertion does.
 #![allow(clippy::expect_used)]
+// The test's own runtime has timers.
+#![allow(clippy::disallowed_methods)]
 mod common;
 
 use balancer::hollow::{AppliedUpdate, HollowBalancer, HollowOptions, RequestOutcome};
