Serve a connection that the loop cannot watch for a moment

Cause: the runtime closes an accepted connection if it cannot register it.

Change: listeners and streams register through `net::watched_descriptor`, which gives the socket back. An accepted connection is registered again every 10 ms, as long as its client is there, like one that waits for a permit.

--- a/balancer/src/admin/server.rs
+++ b/balancer/src/admin/server.rs
@@ -3,6 +3,7 @@
 use crate::admin::override_sync::OverrideSync;
 use crate::admin::response::{to_wire, AdminError, AdminResponse};
 use crate::control::driver::DriverHandle;
+use crate::net::listener::{register_when_possible, Listener};
 use crate::net::socket_io::Socket;
 use crate::phase::Phase;
 use crate::telemetry::metrics::Metrics;
@@ -10,10 +11,10 @@
 use balancer_core::Millis;
 use std::collections::VecDeque;
 use std::io;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
@@ -66,11 +67,11 @@
     }
 
     /// Accepts connections forever.
-    pub async fn run(self: Rc<AdminServer>, listener: TcpListener) {
+    pub async fn run(self: Rc<AdminServer>, listener: Listener) {
         let mut connections: VecDeque<AbortHandle> = VecDeque::new();
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.accept(stream, &mut connections),
+                Ok(stream) => self.accept(stream, &mut connections),
                 Err(_) => sleep(ACCEPT_RETRY_PAUSE).await,
             }
         }
@@ -84,11 +85,15 @@
                 oldest.abort();
             }
         }
-        let connection = self.clone().serve_connection(Socket::new(stream));
+        let connection = self.clone().serve_connection(stream);
         connections.push_back(tokio::task::spawn_local(connection).abort_handle());
     }
 
-    async fn serve_connection(self: Rc<AdminServer>, mut stream: Socket) {
+    async fn serve_connection(self: Rc<AdminServer>, stream: TcpStream) {
+        let Some(stream) = register_when_possible(stream).await else {
+            return;
+        };
+        let mut stream = Socket::new(stream);
         let line = match timeout(CONNECTION_TIMEOUT, read_line(&mut stream)).await {
             Ok(Ok(line)) => line,
             // The peer has disconnected or sent no complete line.
--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -1,6 +1,7 @@
 //! Calls to discovery over one connection.
 use crate::discovery::endpoints::{EndpointListError, EndpointUpdate, TopologyNames};
 use crate::net::socket_io::Socket;
+use crate::net::tcp_stream::TcpStream;
 use crate::time::timeout;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -12,7 +13,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Time to connect. It is short, so that a failed attempt to connect leaves time for the call.
--- a/balancer/src/inbound/client_connection.rs
+++ b/balancer/src/inbound/client_connection.rs
@@ -3,11 +3,11 @@
 use crate::inbound::idle_connections::{ConnectionKind, IdleConnections, IdleKey};
 use crate::inbound::request_tracker::RequestTracker;
 use crate::net::shared_stream::SharedStream;
+use crate::net::tcp_stream::TcpStream;
 use crate::time::sleep_until;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -6,6 +6,8 @@
 use crate::inbound::context::ServerContext;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::{is_resource_shortage, ConnectionPermit, DescriptorBudget};
+use crate::net::listener::{register_when_possible, Listener};
+use crate::net::tcp_stream::TcpStream;
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
 use crate::telemetry::metrics::Metrics;
@@ -17,7 +19,6 @@
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -58,7 +59,7 @@
     }
 
     /// Accepts clients until the process drains. Returns once every connection is closed.
-    pub async fn run(self, listener: TcpListener) {
+    pub async fn run(self, listener: Listener) {
         let context = self.context;
         let queue_delay = AcceptLoop::new(&context, &listener).run().await;
         accept_remaining(&context, listener, queue_delay).await;
@@ -70,7 +71,7 @@
 /// Accepts connections until the process drains.
 struct AcceptLoop<'a> {
     context: &'a Rc<ServerContext>,
-    listener: &'a TcpListener,
+    listener: &'a Listener,
     phase: watch::Receiver<Phase>,
     /// Whether the last accept failed.
     is_failing: bool,
@@ -80,13 +81,13 @@
 }
 
 struct Accepted {
-    result: io::Result<TcpStream>,
+    result: io::Result<std::net::TcpStream>,
     /// Whether the listener's queue was empty before the connection arrived.
     queue_was_empty: bool,
 }
 
 impl<'a> AcceptLoop<'a> {
-    fn new(context: &'a Rc<ServerContext>, listener: &'a TcpListener) -> AcceptLoop<'a> {
+    fn new(context: &'a Rc<ServerContext>, listener: &'a Listener) -> AcceptLoop<'a> {
         AcceptLoop {
             context,
             listener,
@@ -130,12 +131,12 @@
             _ = self.phase.wait_for(|phase| *phase >= Phase::Draining) => return None,
         };
         Some(Accepted {
-            result: accepted.map(|(stream, _)| stream),
+            result: accepted,
             queue_was_empty,
         })
     }
 
-    async fn admit(&mut self, stream: TcpStream) -> ControlFlow<()> {
+    async fn admit(&mut self, stream: std::net::TcpStream) -> ControlFlow<()> {
         let accepted_at = Instant::now();
         let Some(permit) = acquire_permit(self.context).await else {
             return ControlFlow::Break(());
@@ -162,20 +163,12 @@
 
 /// Accepts what is left in the listener's queue, and closes the listener. Asks the system, because
 /// the runtime learns of new connections only when it next polls.
-async fn accept_remaining(
-    context: &Rc<ServerContext>,
-    listener: TcpListener,
-    queue_delay: Duration,
-) {
-    let Ok(listener) = listener.into_std() else {
-        return;
-    };
+async fn accept_remaining(context: &Rc<ServerContext>, listener: Listener, queue_delay: Duration) {
+    let listener = listener.into_std();
     while let Some((stream, _)) = accept_from_queue(|| listener.accept()).await {
-        let stream = stream
-            .set_nonblocking(true)
-            .and_then(|()| TcpStream::from_std(stream));
+        let configured = stream.set_nonblocking(true);
         let permit = acquire_permit(context).await;
-        let (Ok(stream), Some(permit)) = (stream, permit) else {
+        let (Ok(()), Some(permit)) = (configured, permit) else {
             continue;
         };
         let arrived_at = arrival_time(Instant::now(), queue_delay);
@@ -223,10 +216,10 @@
 }
 
 /// Starts the task of a connection that arrived in the listener's queue at `arrived_at` at the
-/// earliest. Registers it at once, so that it is evicted before an older connection in use.
+/// earliest. One that the loop cannot watch for a moment waits, as one does without a permit.
 fn spawn_connection(
     context: &Rc<ServerContext>,
-    stream: TcpStream,
+    stream: std::net::TcpStream,
     permit: ConnectionPermit,
     arrived_at: Instant,
 ) {
@@ -235,9 +228,31 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let unregistered = match TcpStream::register(stream) {
+        Ok(registered) => {
+            serve_registered(context.clone(), registered, permit, arrived_at);
+            return;
+        }
+        Err(failed) => failed.descriptor,
+    };
+    let context = context.clone();
+    tokio::task::spawn_local(async move {
+        if let Some(registered) = register_when_possible(unregistered).await {
+            serve_registered(context, registered, permit, arrived_at);
+        }
+    });
+}
+
+/// Serves a connection. It counts as idle at once, so that it is evicted before an older one in use.
+fn serve_registered(
+    context: Rc<ServerContext>,
+    stream: TcpStream,
+    permit: ConnectionPermit,
+    arrived_at: Instant,
+) {
     let connection = ClientConnection::register(stream, &context.idle_connections);
     connection.stream().record_unread(arrived_at);
-    tokio::task::spawn_local(serve_connection(context.clone(), connection, permit));
+    tokio::task::spawn_local(serve_connection(context, connection, permit));
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/balancer/src/net/listener.rs
@@ -0,0 +1,81 @@
+//! Listening sockets, and the registration of the connections that they accept.
+use crate::net::tcp_stream::TcpStream;
+use crate::net::watched_descriptor::WatchedDescriptor;
+use crate::time::sleep;
+use socket2::{Domain, Socket, Type};
+use std::future::poll_fn;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 1024;
+/// Pause after a registration that failed.
+const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// A listening socket. Connections that it accepts are not registered with the loop yet, so that
+/// one whose registration fails is not lost.
+pub struct Listener(WatchedDescriptor<TcpListener>);
+
+impl Listener {
+    /// Listens at an address, which another process of this balancer may share.
+    pub fn bind(address: SocketAddr, shares_address: bool) -> io::Result<Listener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        socket.set_reuse_address(true)?;
+        if shares_address {
+            socket.set_reuse_port(true)?;
+        }
+        socket.bind(&address.into())?;
+        socket.listen(LISTEN_BACKLOG)?;
+        Ok(Listener(WatchedDescriptor::new(socket.into())?))
+    }
+
+    /// Where it listens.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.get().local_addr()
+    }
+
+    /// Polls for the next connection.
+    pub fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<std::net::TcpStream>> {
+        let (stream, _) = ready!(self.0.poll_read(cx, TcpListener::accept))?;
+        stream.set_nonblocking(true)?;
+        Poll::Ready(Ok(stream))
+    }
+
+    /// Waits for the next connection.
+    pub async fn accept(&self) -> io::Result<std::net::TcpStream> {
+        poll_fn(|cx| self.poll_accept(cx)).await
+    }
+
+    /// The listening socket, which the loop watches no longer.
+    pub fn into_std(self) -> TcpListener {
+        self.0.into_inner()
+    }
+}
+
+/// Has the loop watch an accepted connection, as soon as the system allows it. `None` if the client
+/// disconnects before.
+pub async fn register_when_possible(mut stream: std::net::TcpStream) -> Option<TcpStream> {
+    loop {
+        match TcpStream::register(stream) {
+            Ok(registered) => return Some(registered),
+            Err(failed) if has_disconnected(&failed.descriptor) => return None,
+            Err(failed) => stream = failed.descriptor,
+        }
+        sleep(REGISTRATION_RETRY_DELAY).await;
+    }
+}
+
+/// Whether the client has disconnected and has left no request behind.
+fn has_disconnected(stream: &std::net::TcpStream) -> bool {
+    use io::ErrorKind::{Interrupted, WouldBlock};
+    match stream.peek(&mut [0]) {
+        Ok(unread) => unread == 0,
+        Err(error) => !matches!(error.kind(), Interrupted | WouldBlock),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -1,16 +1,16 @@
 //! A TCP stream that stays accessible while hyper reads and writes it: how far a message is
 //! written, whether the peer has disconnected, and since when bytes are unread.
 use crate::net::socket_io;
-use std::cell::{Cell, RefCell, RefMut};
-use std::future::{poll_fn, Future};
+use crate::net::tcp_stream::TcpStream;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Largest head of a request or response; hyper rejects a larger one.
@@ -49,7 +49,7 @@
 /// A stream with several holders; closed when the last one drops it.
 #[derive(Clone)]
 pub struct SharedStream {
-    stream: Rc<RefCell<TcpStream>>,
+    stream: Rc<TcpStream>,
     write_progress: Rc<Cell<WriteProgress>>,
     /// Counts the messages that are written completely.
     messages_written: Rc<Cell<u64>>,
@@ -62,14 +62,14 @@
 }
 
 /// The other side of a shared stream. Does not keep the connection open.
-pub struct Peer(Weak<RefCell<TcpStream>>);
+pub struct Peer(Weak<TcpStream>);
 
 impl Peer {
     /// Whether the peer has disconnected, or the connection is closed here.
     pub fn has_disconnected(&self) -> bool {
         self.0
             .upgrade()
-            .is_none_or(|stream| peer_disconnected(&stream.borrow()))
+            .is_none_or(|stream| peer_disconnected(&stream))
     }
 }
 
@@ -86,11 +86,7 @@
     match peek_byte(stream) {
         Ok(0) => true,
         // The runtime reports the end of the stream even behind unread bytes.
-        Ok(_) => {
-            let readiness = pin!(stream.ready(Interest::READABLE))
-                .poll(&mut Context::from_waker(Waker::noop()));
-            matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
-        }
+        Ok(_) => stream.is_read_closed(),
         Err(error) => error.kind() != io::ErrorKind::WouldBlock,
     }
 }
@@ -99,7 +95,7 @@
     /// Shares a stream. `messages_written` counts the messages that are written completely.
     pub fn new(stream: TcpStream, messages_written: Rc<Cell<u64>>) -> SharedStream {
         SharedStream {
-            stream: Rc::new(RefCell::new(stream)),
+            stream: Rc::new(stream),
             write_progress: Rc::new(Cell::new(WriteProgress::Partial)),
             messages_written,
             readiness_cleared: Rc::default(),
@@ -117,7 +113,7 @@
     /// What the socket holds unread. Asks the system, because the runtime learns of bytes and of
     /// the end only when it next polls.
     pub fn unread_state(&self) -> UnreadState {
-        match peek_byte(&self.stream.borrow()) {
+        match peek_byte(&self.stream) {
             Ok(0) => UnreadState::Closed,
             Ok(_) => UnreadState::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnreadState::Nothing,
@@ -133,7 +129,7 @@
     /// Whether the peer has closed, reset or half-closed the connection, even if bytes before the
     /// end are unread.
     pub fn peer_disconnected(&self) -> bool {
-        peer_disconnected(&self.stream.borrow())
+        peer_disconnected(&self.stream)
     }
 
     /// The other side.
@@ -157,7 +153,7 @@
     /// Acknowledges received bytes at once: some peers delay a further small write until then.
     pub fn acknowledge_received_data(&self) {
         // A failure only delays such a write.
-        let _ = socket2::SockRef::from(&*self.stream.borrow()).set_tcp_quickack(true);
+        let _ = socket2::SockRef::from(&*self.stream).set_tcp_quickack(true);
     }
 
     /// Records that bytes are unread, if there are any: they arrived at `since` at the earliest.
@@ -165,7 +161,7 @@
         if self.unread_since.get().is_some() {
             return;
         }
-        if peek_byte(&self.stream.borrow()).is_ok_and(|count| count > 0) {
+        if peek_byte(&self.stream).is_ok_and(|count| count > 0) {
             self.unread_since.set(Some(since));
         }
     }
@@ -184,17 +180,13 @@
             // clears the end of the stream.
             self.readiness_cleared.set(true);
             let clear = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
-            let _ = self.stream.borrow().try_io(Interest::READABLE, clear);
-            let readable = poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await;
+            let _ = self.stream.try_io(Interest::READABLE, clear);
+            let readable = poll_fn(|cx| self.stream.poll_read_ready(cx)).await;
             if readable.is_err() {
                 return;
             }
         }
     }
-
-    fn stream(&self) -> RefMut<'_, TcpStream> {
-        self.stream.borrow_mut()
-    }
 }
 
 impl AsyncRead for SharedStream {
@@ -203,16 +195,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let stream = self.stream.borrow();
+        let stream = &self.stream;
         if self.readiness_cleared.get() {
-            match socket_io::try_read(&stream, buf) {
+            match socket_io::try_read(stream, buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.readiness_cleared.set(false);
                 }
                 result => return Poll::Ready(result),
             }
         }
-        socket_io::poll_read(&stream, cx, buf)
+        socket_io::poll_read(stream, cx, buf)
     }
 }
 
@@ -223,23 +215,22 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_write_permit()?;
-        socket_io::poll_write(&self.stream.borrow(), cx, &[io::IoSlice::new(buf)])
+        socket_io::poll_write(&self.stream, cx, &[io::IoSlice::new(buf)])
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut *self.stream()).poll_flush(cx);
-        // hyper flushes the socket only after it has written all of the message.
-        let is_written = matches!(flushed, Poll::Ready(Ok(())));
-        if is_written && self.write_progress.get() == WriteProgress::HandedOver {
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The socket has no buffer of this process. hyper flushes it only after it has written all
+        // of the message.
+        if self.write_progress.get() == WriteProgress::HandedOver {
             self.write_progress.set(WriteProgress::Complete);
             self.messages_written
                 .set(self.messages_written.get().wrapping_add(1));
         }
-        flushed
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.stream.shutdown_write())
     }
 
     fn poll_write_vectored(
@@ -248,11 +239,11 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_write_permit()?;
-        socket_io::poll_write(&self.stream.borrow(), cx, bufs)
+        socket_io::poll_write(&self.stream, cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.borrow().is_write_vectored()
+        true
     }
 }
 
--- a/balancer/src/net/shared_stream/tests.rs
+++ b/balancer/src/net/shared_stream/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-async fn connected_pair(messages_written: Rc<Cell<u64>>) -> (SharedStream, TcpStream) {
+async fn connected_pair(messages_written: Rc<Cell<u64>>) -> (SharedStream, tokio::net::TcpStream) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
         .expect("binds");
--- a/balancer/src/net/socket_io.rs
+++ b/balancer/src/net/socket_io.rs
@@ -4,12 +4,12 @@
 //! for the next event. But the system may end a call early for other reasons, and then that event
 //! never arrives. Here only `EAGAIN` means drained or full, and a call that a signal interrupted is
 //! repeated.
+use crate::net::tcp_stream::TcpStream;
 use socket2::SockRef;
 use std::io::{self, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Repeats a call while signals interrupt it.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
@@ -51,7 +51,7 @@
 ) -> Poll<io::Result<usize>> {
     loop {
         ready!(stream.poll_write_ready(cx))?;
-        let write = || retry_interrupted(|| (&*SockRef::from(stream)).write_vectored(bufs));
+        let write = || (&*SockRef::from(stream)).write_vectored(bufs);
         match stream.try_io(Interest::WRITABLE, write) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             result => return Poll::Ready(result),
@@ -88,12 +88,13 @@
         poll_write(&self.0, cx, &[IoSlice::new(buf)])
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The socket has no buffer of this process.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.shutdown_write())
     }
 
     fn poll_write_vectored(
--- /dev/null
+++ b/balancer/src/net/tcp_stream.rs
@@ -0,0 +1,85 @@
+//! TCP connections that the loop watches. Unlike those of the runtime, one that cannot be watched for
+//! a moment is not lost.
+use crate::net::watched_descriptor::{RegistrationError, WatchedDescriptor};
+use socket2::{Domain, Socket, Type};
+use std::future::poll_fn;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::task::{Context, Poll};
+use tokio::io::Interest;
+
+/// `errno` of a connection that is being established.
+const EINPROGRESS: i32 = 115;
+
+/// A TCP connection that the loop watches.
+pub struct TcpStream(WatchedDescriptor<std::net::TcpStream>);
+
+impl TcpStream {
+    /// Connects to an address.
+    pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM.nonblocking(),
+            None,
+        )?;
+        match socket.connect(&address.into()) {
+            Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error),
+            Ok(()) | Err(_) => {}
+        }
+        let stream = TcpStream::register(socket.into()).map_err(|error| error.source)?;
+        poll_fn(|cx| stream.poll_write_ready(cx)).await?;
+        match stream.0.get().take_error()? {
+            Some(error) => Err(error),
+            None => Ok(stream),
+        }
+    }
+
+    /// Has the loop watch a connection that does not block.
+    pub fn register(
+        stream: std::net::TcpStream,
+    ) -> Result<TcpStream, RegistrationError<std::net::TcpStream>> {
+        WatchedDescriptor::register(stream, Interest::READABLE | Interest::WRITABLE).map(TcpStream)
+    }
+
+    /// Polls until bytes or the end may be available.
+    pub fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll_read_ready(cx)
+    }
+
+    /// Polls until bytes may be written.
+    pub fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll_write_ready(cx)
+    }
+
+    /// Makes a call on the socket if it may be ready. If the call fails with `WouldBlock`, the socket
+    /// counts as not ready until the next event.
+    pub fn try_io<R>(
+        &self,
+        interest: Interest,
+        mut call: impl FnMut() -> io::Result<R>,
+    ) -> io::Result<R> {
+        self.0.try_io(interest, |_| call())
+    }
+
+    /// Whether the loop has learned that nothing more can be read, be it behind unread bytes.
+    pub fn is_read_closed(&self) -> bool {
+        self.0.is_read_closed()
+    }
+
+    /// Sends small writes at once.
+    pub fn set_nodelay(&self, nodelay: bool) -> io::Result<()> {
+        self.0.get().set_nodelay(nodelay)
+    }
+
+    /// Ends the side that is written.
+    pub fn shutdown_write(&self) -> io::Result<()> {
+        self.0.get().shutdown(Shutdown::Write)
+    }
+}
+
+impl AsFd for TcpStream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.get().as_fd()
+    }
+}
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams: an idle one from the pool, or a new one.
 use crate::net::descriptor_budget::{is_resource_shortage, DescriptorBudget};
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
+use crate::net::tcp_stream::TcpStream;
 use crate::outbound::connection_pool::{Connection, PooledConnection, Upstream};
 use crate::outbound::surplus_reporter::SurplusReporter;
 use crate::telemetry::upstream_counts::UpstreamCounts;
@@ -11,7 +12,6 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, error::SendError};
 use tokio::time::Instant;
 
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -10,6 +10,7 @@
 use crate::inbound::server::Server;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::listener::Listener;
 use crate::net::retry_io::retry_io;
 use crate::outbound::attempt::Transport;
 use crate::outbound::connector::Connector;
@@ -34,13 +35,10 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1024;
 /// How long operations are retried that the system fails at start-up: much shorter than the time to become ready.
 const STARTUP_RETRY_LIMIT: Duration = Duration::from_secs(3);
 /// Longer times in the settings, in milliseconds, count as one day.
@@ -221,13 +219,11 @@
 
 /// Listens for operators, if there is an address for them. This happens before anything else is started, so that a
 /// wrong address ends the process with one line.
-async fn listen_for_admin(
-    address: Option<SocketAddr>,
-) -> Result<Option<TcpListener>, ProgramError> {
+async fn listen_for_admin(address: Option<SocketAddr>) -> Result<Option<Listener>, ProgramError> {
     let Some(address) = address else {
         return Ok(None);
     };
-    match retry_io(STARTUP_RETRY_LIMIT, || listen(address, false)).await {
+    match retry_io(STARTUP_RETRY_LIMIT, || Listener::bind(address, false)).await {
         Ok(listener) => Ok(Some(listener)),
         Err(source) => Err(ProgramError::AdminListen { address, source }),
     }
@@ -236,7 +232,7 @@
 /// Starts the admin server, if there is a listener for it, and prepares this process for serving beside others.
 async fn start_admin(
     config: &Config,
-    listener: Option<TcpListener>,
+    listener: Option<Listener>,
     handle: &DriverHandle,
     parts: &SharedParts,
 ) -> Result<Option<Rc<ProcessCoordinator>>, ProgramError> {
@@ -284,9 +280,11 @@
 ) -> Result<(JoinHandle<()>, SocketAddr), ProgramError> {
     let address = config.listen_address;
     let failed = |source: io::Error| ProgramError::Listen { address, source };
-    let listener = retry_io(STARTUP_RETRY_LIMIT, || listen(address, shares_address))
-        .await
-        .map_err(failed)?;
+    let listener = retry_io(STARTUP_RETRY_LIMIT, || {
+        Listener::bind(address, shares_address)
+    })
+    .await
+    .map_err(failed)?;
     let local_address = listener.local_addr().map_err(failed)?;
     let server = Server::new(
         handle.clone(),
@@ -299,18 +297,3 @@
     let task = tokio::task::spawn_local(server.run(listener));
     Ok((task, local_address))
 }
-
-/// Listens at an address, which another process of this balancer may share.
-fn listen(address: SocketAddr, shares_address: bool) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    if shares_address {
-        socket.set_reuseport(true)?;
-    }
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
