Leave the runtime's end to the system, so that no dropped task wakes its loop

Cause: dropping the runtime drops its tasks. A connection that drops aborts its own task, which wakes the loop from outside; that write fails, and the runtime panics ("failed to wake I/O driver") in a destructor.

Change: the runtime is not dropped. The process ends at once, and the system closes sockets and releases locks.

--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -30,6 +30,7 @@
 use balancer_core::{Millis, SettingsError};
 use balancer_settings::Deployment;
 use std::io;
+use std::mem::ManuallyDrop;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -56,9 +57,11 @@
 fn run_on_one_thread() -> Result<(), ProgramError> {
     // Before anything else: a signal that is not blocked ends the process.
     Signals::block()?;
-    start_runtime(STARTUP_RETRY_LIMIT)
-        .map_err(ProgramError::Runtime)?
-        .block_on(run())
+    // Never dropped: the tasks that a runtime drops wake each other from outside its loop, by the
+    // write that ends the process if it fails. The system closes what they hold.
+    let runtime =
+        ManuallyDrop::new(start_runtime(STARTUP_RETRY_LIMIT).map_err(ProgramError::Runtime)?);
+    runtime.block_on(run())
 }
 
 /// What several parts of the process share.
