Report how many calls each row of failing_calls has made fail

Cause: a row whose calls the balancer never makes passes without a trial.

Change: the library counts the calls that it fails in a second half of the control file. The test reports the count and how the requests ended for each row.

--- a/balancer/tests/failing_calls/fault_control.rs
+++ b/balancer/tests/failing_calls/fault_control.rs
@@ -1,6 +1,6 @@
 //! The fault injection library and its control file.
 use crate::rows::Row;
-use fault_injection::control::{CONTROL_FILE, FILE_BYTES, SEED};
+use fault_injection::control::{Fault, CONTROL_FILE, FILE_BYTES, SEED, WORD_BYTES};
 use std::fs::{self, File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
@@ -21,6 +21,7 @@
         let path = folder.join(FILE_NAME);
         fs::write(&path, [0; FILE_BYTES]).expect("writes the control file");
         let file = OpenOptions::new()
+            .read(true)
             .write(true)
             .open(&path)
             .expect("opens the control file");
@@ -36,6 +37,19 @@
         }
     }
 
+    /// How many calls the faults of a row have made fail.
+    pub fn injected(&self, row: &Row) -> u64 {
+        row.faults.iter().map(|fault| self.read_count(*fault)).sum()
+    }
+
+    fn read_count(&self, fault: Fault) -> u64 {
+        let mut count = [0; WORD_BYTES];
+        self.file
+            .read_exact_at(&mut count, fault.count_offset())
+            .expect("reads the control file");
+        u64::from_le_bytes(count)
+    }
+
     /// Has a command load the library, with this seed.
     pub fn preload(&self, command: &mut Command, seed: u64) {
         command
--- a/balancer/tests/failing_calls/plays.rs
+++ b/balancer/tests/failing_calls/plays.rs
@@ -37,6 +37,8 @@
 pub struct PlayResult {
     pub failures: Vec<Failure>,
     pub tally: Tally,
+    /// How many calls failed.
+    pub injected: u64,
     /// The logs of its processes.
     pub log: Vec<String>,
 }
@@ -81,8 +83,10 @@
         });
         self.failures.extend(result.err());
         self.collect_log(balancer);
+        let injected = self.faults.injected(self.row);
         let _ = std::fs::remove_dir_all(&self.folder);
         PlayResult {
+            injected,
             failures: self.failures,
             tally: self.tally,
             log: self.log,
--- a/balancer/tests/failing_calls/runner.rs
+++ b/balancer/tests/failing_calls/runner.rs
@@ -1,4 +1,6 @@
 //! Plays all rows at one moment and reports the rows that fail.
+#![allow(clippy::disallowed_macros, reason = "the report is printed")]
+use crate::load::Tally;
 use crate::plays::{Moment, Play, PlayResult};
 use crate::rows::{Row, ROWS};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -22,6 +24,9 @@
 #[derive(Default)]
 struct RowReport {
     failed: usize,
+    /// Over all plays: the system calls that failed, and the requests.
+    injected: u64,
+    tally: Tally,
     /// Why the first play failed.
     evidence: String,
 }
@@ -34,9 +39,14 @@
     let failed = reports.iter().filter(|report| report.failed > 0).count();
     let mut text = format!("{moment:?}: {failed} of {} rows failed", ROWS.len());
     for (row, report) in ROWS.iter().zip(&reports) {
-        let RowReport { failed, evidence } = report;
+        let RowReport {
+            failed,
+            injected,
+            tally,
+            evidence,
+        } = report;
         text += &format!(
-            "\n  {}: {failed} of {plays} plays failed{evidence}",
+            "\n  {}: {failed} of {plays} plays failed, {injected} calls, {tally:?}{evidence}",
             row.name
         );
     }
@@ -83,6 +93,10 @@
 }
 
 fn add_result(report: &mut RowReport, row: &Row, seed: u64, result: &PlayResult) {
+    report.injected += result.injected;
+    for (outcome, count) in &result.tally {
+        *report.tally.entry(*outcome).or_default() += count;
+    }
     if result.failures.is_empty() {
         return;
     }
--- a/fault-injection/src/control.rs
+++ b/fault-injection/src/control.rs
@@ -2,7 +2,7 @@
 //!
 //! The file holds one little-endian 64-bit word for each [`Fault`], in their order. The library maps it into the
 //! process; the test writes the words. A word is a probability in millionths or made by [`first_calls`]; only that of
-//! [`Fault::ClockOffset`] is an offset.
+//! [`Fault::ClockOffset`] is an offset. As many words follow in which the library counts the calls that it failed.
 pub use crate::fault::Fault;
 
 use std::ffi::CStr;
@@ -15,7 +15,7 @@
 /// The word for a probability of one.
 pub const CERTAIN: u64 = 1_000_000;
 /// Size of the control file.
-pub const FILE_BYTES: usize = Fault::COUNT * WORD_BYTES;
+pub const FILE_BYTES: usize = 2 * Fault::COUNT * WORD_BYTES;
 
 /// Size of a word of the control file.
 pub const WORD_BYTES: usize = 8;
@@ -67,7 +67,7 @@
 
 /// Maps the file at this path. It stays mapped until the process ends.
 fn map_words(path: &CStr) -> Option<*mut AtomicU64> {
-    let flags = libc::O_RDONLY;
+    let flags = libc::O_RDWR;
     let mode = 0;
     // SAFETY: the path is a valid string that ends with a zero byte.
     let file =
@@ -82,7 +82,7 @@
         libc::mmap(
             address,
             FILE_BYTES,
-            libc::PROT_READ,
+            libc::PROT_READ | libc::PROT_WRITE,
             libc::MAP_SHARED,
             file as i32,
             offset,
@@ -103,15 +103,26 @@
     Some(unsafe { CStr::from_ptr(value) })
 }
 
+/// The word at this position of the control file; `None` without a control file.
+fn word_at(position: usize) -> Option<&'static AtomicU64> {
+    let words = WORDS.load(Ordering::Acquire);
+    if words.is_null() || position >= FILE_BYTES / WORD_BYTES {
+        return None;
+    }
+    // SAFETY: the mapping holds a word at this position and is never removed.
+    Some(unsafe { &*words.add(position) })
+}
+
 /// The fault's word in the control file; zero without a control file.
 fn read_word(fault: Fault) -> u64 {
-    let words = WORDS.load(Ordering::Acquire);
-    if words.is_null() {
-        return 0;
+    word_at(fault as usize).map_or(0, |word| word.load(Ordering::Relaxed))
+}
+
+/// Counts a call that fails.
+fn count_injection(fault: Fault) {
+    if let Some(count) = word_at(Fault::COUNT + fault as usize) {
+        count.fetch_add(1, Ordering::Relaxed);
     }
-    // SAFETY: the mapping holds a word for each fault and is never removed.
-    let word = unsafe { &*words.add(fault as usize) };
-    word.load(Ordering::Relaxed)
 }
 
 /// A random number from the generator xorshift64*.
@@ -137,9 +148,15 @@
 /// possible.
 pub(crate) fn should_inject_if(fault: Fault, condition: impl FnOnce() -> bool) -> bool {
     let word = read_word(fault);
-    if word == 0 || !condition() {
+    if word == 0 || !condition() || !is_due(fault, word) {
         return false;
     }
+    count_injection(fault);
+    true
+}
+
+/// Whether the next call fails by this word.
+fn is_due(fault: Fault, word: u64) -> bool {
     if word & FIRST_CALLS != 0 {
         return COUNTED_CALLS[fault as usize].fetch_add(1, Ordering::Relaxed) < word ^ FIRST_CALLS;
     }
--- a/fault-injection/src/fault.rs
+++ b/fault-injection/src/fault.rs
@@ -71,4 +71,9 @@
     pub fn offset(self) -> u64 {
         (self as usize * WORD_BYTES) as u64
     }
+
+    /// Position of the word that counts the calls that the fault has made fail, in bytes.
+    pub fn count_offset(self) -> u64 {
+        ((Fault::COUNT + self as usize) * WORD_BYTES) as u64
+    }
 }
