fault-injection: fail sendmsg, by which the balancer writes to sockets

Cause: the balancer writes to all sockets by `sendmsg` (strace of a process with seven connections: 8 calls of sendmsg, and 1 of sendto, which is that of the runtime's signal handler). The library hooked send, write and writev only, so that the faults InterruptedWrite and ShortWrite, and the soak's kinds "interrupted" and "shorttransfers", never reached a response or a request.

Change: `sendmsg` fails with EINTR or accepts one byte, like the other writes.

--- a/fault-injection/src/calls/writes.rs
+++ b/fault-injection/src/calls/writes.rs
@@ -2,7 +2,7 @@
 use crate::control::{should_inject, should_inject_if, Fault};
 use crate::descriptors::{is_event_descriptor, is_file, is_local_socket, is_socket};
 use crate::errno::{fail, fail_with_one_of};
-use libc::{c_int, c_void, iovec, size_t, ssize_t};
+use libc::{c_int, c_void, iovec, msghdr, size_t, ssize_t};
 
 const LOG_ERRORS: [c_int; 2] = [libc::EIO, libc::EPIPE];
 
@@ -86,15 +86,50 @@
     }
     if should_inject(Fault::ShortWrite) && is_socket(fd) {
         // SAFETY: the caller guarantees that `vectors` points to `count` valid vectors.
-        let buffers = unsafe { std::slice::from_raw_parts(vectors, count.max(0) as usize) };
-        if let Some(first) = buffers.iter().find(|buffer| buffer.iov_len > 0) {
-            let length: size_t = 1;
-            // SAFETY: the caller guarantees that the buffer is valid for its length, which is at least one.
-            return unsafe {
-                libc::syscall(libc::SYS_write, fd, first.iov_base, length) as ssize_t
-            };
+        if let Some(written) = unsafe { write_one_byte(fd, vectors, count.max(0) as usize) } {
+            return written;
         }
     }
     // SAFETY: the caller guarantees the contract of `writev`; the arguments are unchanged.
     unsafe { libc::syscall(libc::SYS_writev, fd, vectors, count) as ssize_t }
 }
+
+/// `sendmsg(2)`.
+///
+/// # Safety
+/// The contract of the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn sendmsg(fd: c_int, message: *const msghdr, flags: c_int) -> ssize_t {
+    if should_inject(Fault::InterruptedWrite) {
+        return fail(libc::EINTR);
+    }
+    if let Some(failure) = injected_failure(fd) {
+        return failure;
+    }
+    if should_inject(Fault::ShortWrite) {
+        // SAFETY: the caller guarantees that `message` points to a valid message.
+        let (vectors, count) = unsafe { ((*message).msg_iov, (*message).msg_iovlen) };
+        // SAFETY: the caller guarantees that the vectors of the message are valid. The process sends neither
+        // addresses nor control data.
+        if let Some(written) = unsafe { write_one_byte(fd, vectors, count) } {
+            return written;
+        }
+    }
+    // SAFETY: the caller guarantees the contract of `sendmsg`; the arguments are unchanged.
+    unsafe { libc::syscall(libc::SYS_sendmsg, fd, message, flags) as ssize_t }
+}
+
+/// Writes the first byte of these buffers. `None` if they are empty.
+///
+/// # Safety
+/// `vectors` points to `count` valid vectors, each valid for its length.
+unsafe fn write_one_byte(fd: c_int, vectors: *const iovec, count: usize) -> Option<ssize_t> {
+    let first_vector = (0..count)
+        // SAFETY: the caller guarantees that there are `count` vectors.
+        .map(|index| unsafe { &*vectors.add(index) })
+        .find(|vector| vector.iov_len > 0)?;
+    let length: size_t = 1;
+    // SAFETY: the caller guarantees that the buffer is valid for its length, which is at least one.
+    let written = unsafe { libc::syscall(libc::SYS_write, fd, first_vector.iov_base, length) };
+    Some(written as ssize_t)
+}
