--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -5,11 +5,13 @@
 use crate::control::driver::DriverHandle;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::phase::Phase;
+use crate::telemetry::log::log_line;
+use crate::time::{sleep, timeout};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
 /// How often the store is read. It is much shorter than the grace period of a suspension.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
@@ -61,7 +63,7 @@
         if self.try_lock_process().await {
             return;
         }
-        eprintln!("another process of this balancer serves");
+        log_line!("another process of this balancer serves");
         self.sockets.yield_half().await;
         // Without an update by then the cached list is used: waiting longer would not bring one sooner.
         let _ = timeout(ENDPOINT_LIST_TIMEOUT, self.driver.endpoints_notified()).await;
@@ -70,7 +72,7 @@
     /// Reports to the predecessor that this process serves from now on, and starts to follow the other processes.
     pub async fn serve(self: &Rc<ProcessCoordinator>) {
         if let Err(error) = self.register().await {
-            eprintln!("{error}: will be retried");
+            log_line!("{error}: will be retried");
         }
         let phase = if self.overrides.is_paused() {
             Phase::Paused
--- a/balancer/src/process/shutdown.rs
+++ b/balancer/src/process/shutdown.rs
@@ -3,10 +3,12 @@
 use crate::control::driver::DriverHandle;
 use crate::phase::Phase;
 use crate::process::shutdown_schedule::{ShutdownSchedule, ACCEPT_PERIOD};
+use crate::telemetry::log::log_line;
+use crate::time::{sleep_until, timeout_at};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinHandle};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::Instant;
 
 /// How often the end of relayed responses is checked.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -59,13 +61,13 @@
             let name = self.name;
             let active = handle.active_requests();
             if active == 0 || check_at >= self.requested_at + MAX_RELAY_PERIOD {
-                eprintln!(
+                log_line!(
                     "{name}: clients are still connected at the end, {active} responses cut off"
                 );
                 return;
             }
             if check_at == exit_at {
-                eprintln!("{name}: {active} responses are still being relayed");
+                log_line!("{name}: {active} responses are still being relayed");
             }
             check_at += RELAY_CHECK_INTERVAL;
         }
