soak: draw faults of the calls on a balancer's own descriptors

Cause: the soak failed reads and writes of sockets and files only.

Change: four kinds of fault. `eventdescriptors` fails reads and writes of event counter, timers and signal descriptors while a balancer reloads and shuts down, `registrations` fails `epoll_ctl`, `failinglog` fails writes to the standard error, `failingstart` fails the first calls that create descriptors at a start. A seed draws them after the general faults, which stay as they were, so that the seeds of known failures still play the same ones.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -49,11 +49,19 @@
     Upgrade,
     /// A balancer gets several reloads in a row, and then several signals while it shuts down.
     SignalSeries,
+    /// A balancer's calls on its event counter, timers and signal descriptors fail while it reloads and shuts down.
+    EventDescriptors,
+    /// A balancer's `epoll_ctl` fails to add, modify and remove descriptors.
+    Registrations,
+    /// A balancer's writes to its log fail.
+    FailingLog,
+    /// The first calls that create a balancer's own descriptors fail while it starts.
+    FailingStart,
 }
 
 impl Fault {
-    /// All kinds. A seed draws from them by position.
-    pub const ALL: [Fault; 22] = [
+    /// The kinds that a seed draws by position. Seeds of known failures rely on their number and order.
+    pub const GENERAL: [Fault; 22] = [
         Fault::Restart,
         Fault::Kill,
         Fault::Reload,
@@ -78,6 +86,19 @@
         Fault::SignalSeries,
     ];
 
+    /// Faults of a balancer's own descriptors, which a seed draws after the general ones.
+    pub const OWN_DESCRIPTORS: [Fault; 4] = [
+        Fault::EventDescriptors,
+        Fault::Registrations,
+        Fault::FailingLog,
+        Fault::FailingStart,
+    ];
+
+    /// All kinds.
+    pub fn all() -> impl Iterator<Item = Fault> {
+        Fault::GENERAL.into_iter().chain(Fault::OWN_DESCRIPTORS)
+    }
+
     /// The name for `--only` and in the report. Some names are older than the terms of the code and stay for those who use them.
     pub fn name(self) -> &'static str {
         match self {
@@ -103,6 +124,10 @@
             Fault::IdleConnections => "idlecrowd",
             Fault::Upgrade => "upgrade",
             Fault::SignalSeries => "signalseries",
+            Fault::EventDescriptors => "eventdescriptors",
+            Fault::Registrations => "registrations",
+            Fault::FailingLog => "failinglog",
+            Fault::FailingStart => "failingstart",
         }
     }
 }
@@ -115,16 +140,20 @@
 
 /// A name that no kind of fault has.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("the kinds of fault are {}", Fault::ALL.map(Fault::name).join(", "))]
+#[error("the kinds of fault are {}", format_names())]
 pub struct UnknownFault;
 
+fn format_names() -> String {
+    let names: Vec<&str> = Fault::all().map(Fault::name).collect();
+    names.join(", ")
+}
+
 impl FromStr for Fault {
     type Err = UnknownFault;
 
     /// Finds the kind with this name. Upper and lower case are the same.
     fn from_str(name: &str) -> Result<Fault, UnknownFault> {
-        Fault::ALL
-            .into_iter()
+        Fault::all()
             .find(|fault| fault.name() == name.to_lowercase())
             .ok_or(UnknownFault)
     }
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -2,7 +2,9 @@
 mod balancers;
 mod clients;
 mod discovery;
+mod failing_calls;
 mod overrides;
+mod own_descriptors;
 mod system_calls;
 mod upstreams;
 
@@ -10,36 +12,16 @@
 use crate::ids::{BalancerId, UpstreamId};
 use crate::plan::PlannedFault;
 use crate::testbed::Testbed;
-use fault_injection::control::Fault as SyscallFault;
+use failing_calls::{
+    BROKEN_READS, INTERRUPTIONS, LOG_FAILURES, REGISTRATION_FAILURES, SHORT_TRANSFERS,
+    SOCKET_FAILURES,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Faults of [`Fault::ShortTransfers`].
-const SHORT_TRANSFERS: [SyscallFault; 2] = [SyscallFault::ShortRead, SyscallFault::ShortWrite];
-/// Faults of [`Fault::Interrupted`].
-const INTERRUPTIONS: [SyscallFault; 3] = [
-    SyscallFault::InterruptedRead,
-    SyscallFault::InterruptedWrite,
-    SyscallFault::InterruptedWait,
-];
-/// Faults of [`Fault::FailingSockets`].
-const SOCKET_FAILURES: [SyscallFault; 3] = [
-    SyscallFault::Accept,
-    SyscallFault::Connect,
-    SyscallFault::Socket,
-];
-/// Faults of [`Fault::BrokenReads`].
-const BROKEN_READS: [SyscallFault; 1] = [SyscallFault::BrokenRead];
-/// Highest probability of a short or interrupted transfer.
-const MAX_TRANSFER_FAULT_PROBABILITY: f64 = 0.02;
-/// Highest probability of a failing `accept`, `connect` or `socket`.
-const MAX_SOCKET_FAILURE_PROBABILITY: f64 = 0.05;
-/// Highest probability of a broken read.
-const MAX_BROKEN_READ_PROBABILITY: f64 = 0.005;
-
 /// Injects one fault into a testbed.
 pub struct FaultInjector {
     testbed: Arc<Testbed>,
@@ -70,22 +52,10 @@
             Fault::DiscoveryDown => self.take_discovery_down().await,
             Fault::SilentWatches => self.testbed.discovery().silence_watches(),
             Fault::MalformedLists => self.send_malformed_lists().await,
-            Fault::ShortTransfers => {
-                self.fail_system_calls(&SHORT_TRANSFERS, MAX_TRANSFER_FAULT_PROBABILITY)
-                    .await;
-            }
-            Fault::Interrupted => {
-                self.fail_system_calls(&INTERRUPTIONS, MAX_TRANSFER_FAULT_PROBABILITY)
-                    .await;
-            }
-            Fault::FailingSockets => {
-                self.fail_system_calls(&SOCKET_FAILURES, MAX_SOCKET_FAILURE_PROBABILITY)
-                    .await;
-            }
-            Fault::BrokenReads => {
-                self.fail_system_calls(&BROKEN_READS, MAX_BROKEN_READ_PROBABILITY)
-                    .await;
-            }
+            Fault::ShortTransfers => self.fail_system_calls(&SHORT_TRANSFERS).await,
+            Fault::Interrupted => self.fail_system_calls(&INTERRUPTIONS).await,
+            Fault::FailingSockets => self.fail_system_calls(&SOCKET_FAILURES).await,
+            Fault::BrokenReads => self.fail_system_calls(&BROKEN_READS).await,
             Fault::ClockStep => self.step_clock().await,
             Fault::ClockOffset => self.start_with_clock_offset().await,
             Fault::Disk => self.fail_disk().await,
@@ -94,6 +64,10 @@
             Fault::IdleConnections => self.open_idle_connections().await,
             Fault::Upgrade => self.upgrade_balancers().await,
             Fault::SignalSeries => self.send_signal_series().await,
+            Fault::EventDescriptors => self.fail_event_descriptors().await,
+            Fault::Registrations => self.fail_system_calls(&REGISTRATION_FAILURES).await,
+            Fault::FailingLog => self.fail_system_calls(&LOG_FAILURES).await,
+            Fault::FailingStart => self.fail_start().await,
         }
     }
 
--- a/soak/src/injector/system_calls.rs
+++ b/soak/src/injector/system_calls.rs
@@ -1,4 +1,5 @@
 //! Faults of a balancer's system calls and of its wall clock.
+use super::failing_calls::FailingCalls;
 use super::FaultInjector;
 use crate::balancer::BalancerError;
 use crate::ids::BalancerId;
@@ -13,27 +14,33 @@
 const CLOCK_STEP_PAUSE_MS: Range<u64> = 300..2000;
 
 impl FaultInjector {
-    /// Makes system calls of some balancers fail, each with a probability up to `max_probability`.
-    pub(super) async fn fail_system_calls(
-        &mut self,
-        faults: &[SyscallFault],
-        max_probability: f64,
-    ) {
+    /// Makes system calls of some balancers fail.
+    pub(super) async fn fail_system_calls(&mut self, calls: &FailingCalls) {
         let balancers = self.draw_balancers();
         for &id in &balancers {
-            let balancer = self.testbed.lock_balancer(id).await;
-            for &fault in faults {
-                let probability = self.random.random_range(0.0..max_probability);
-                report_failure(balancer.set_syscall_fault(fault, in_millionths(probability)));
-            }
+            self.start_failing_calls(id, calls).await;
         }
         sleep(self.duration).await;
         for &id in &balancers {
-            let balancer = self.testbed.lock_balancer(id).await;
-            report_failure(balancer.clear_syscall_faults());
+            self.end_failing_calls(id).await;
         }
     }
 
+    /// Makes system calls of a balancer fail, each kind with a probability of its own.
+    pub(super) async fn start_failing_calls(&mut self, id: BalancerId, calls: &FailingCalls) {
+        let balancer = self.testbed.lock_balancer(id).await;
+        for &fault in calls.faults {
+            let probability = self.random.random_range(0.0..calls.max_probability);
+            report_failure(balancer.set_syscall_fault(fault, in_millionths(probability)));
+        }
+    }
+
+    /// Ends all system call faults of a balancer.
+    pub(super) async fn end_failing_calls(&self, id: BalancerId) {
+        let balancer = self.testbed.lock_balancer(id).await;
+        report_failure(balancer.clear_syscall_faults());
+    }
+
     /// Steps the wall clock of one balancer, again and again.
     pub(super) async fn step_clock(&mut self) {
         let balancer = self.draw_balancer();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -5,8 +5,10 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Number of faults in a run of intensity 1.
+/// Number of general faults in a run of intensity 1.
 const FAULT_COUNT: Range<usize> = 5..10;
+/// Number of faults of own descriptors in a run of intensity 1, which come on top.
+const OWN_DESCRIPTOR_FAULT_COUNT: Range<usize> = 1..3;
 /// When faults start, as fractions of the run's length.
 const START_FRACTION: Range<f64> = 0.05..0.6;
 /// How long faults last, as fractions of the run's length.
@@ -51,10 +53,15 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut planned = Vec::new();
     if only.is_empty() {
-        for _ in 0..random.random_range(FAULT_COUNT) * intensity {
-            let fault = Fault::ALL[random.random_range(0..Fault::ALL.len())];
-            planned.push(PlannedFault::draw(&mut random, fault, run_length));
-        }
+        let mut draw = |kinds: &[Fault], count: Range<usize>| {
+            for _ in 0..random.random_range(count) * intensity {
+                let fault = kinds[random.random_range(0..kinds.len())];
+                planned.push(PlannedFault::draw(&mut random, fault, run_length));
+            }
+        };
+        draw(&Fault::GENERAL, FAULT_COUNT);
+        // After the general faults, so that these stay the same for a seed.
+        draw(&Fault::OWN_DESCRIPTORS, OWN_DESCRIPTOR_FAULT_COUNT);
     } else {
         for &fault in only.iter().cycle().take(only.len() * (intensity + 1)) {
             planned.push(PlannedFault::draw(&mut random, fault, run_length));
@@ -63,3 +70,6 @@
     planned.sort_by_key(|planned| planned.start_offset);
     planned
 }
+
+#[cfg(test)]
+mod tests;
