--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -10,6 +10,7 @@
 use crate::inbound::server::Server;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::listener::Listener;
 use crate::net::retry_io::retry_io;
 use crate::outbound::attempt::Transport;
 use crate::outbound::connector::Connector;
@@ -19,9 +20,11 @@
 use crate::process::config_file::load_config;
 use crate::process::program_error::ProgramError;
 use crate::process::reload::follow_reloads;
+use crate::process::runtime::start_runtime;
 use crate::process::shutdown::Shutdown;
 use crate::process::shutdown_schedule::ShutdownSchedule;
-use crate::process::signals::Signals;
+use crate::process::signals::{SignalStream, Signals};
+use crate::telemetry::log::log_line;
 use crate::telemetry::log::{start_events, LogOutput};
 use crate::telemetry::metrics::Metrics;
 use balancer_core::{Millis, SettingsError};
@@ -32,14 +35,10 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::Signal;
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, LocalSet};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1024;
 /// How long operations are retried that the system fails at start-up: much shorter than the time to become ready.
 const STARTUP_RETRY_LIMIT: Duration = Duration::from_secs(3);
 /// Longer times in the settings, in milliseconds, count as one day.
@@ -50,16 +49,16 @@
     let Err(error) = run_on_one_thread() else {
         return ExitCode::SUCCESS;
     };
-    eprintln!("balancer: {}", error.to_string().replace('\n', " "));
+    log_line!("balancer: {}", error.to_string().replace('\n', " "));
     ExitCode::FAILURE
 }
 
 fn run_on_one_thread() -> Result<(), ProgramError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(ProgramError::Runtime)?;
-    LocalSet::new().block_on(&runtime, run())
+    // Before anything else: a signal that is not blocked ends the process.
+    Signals::block()?;
+    start_runtime(STARTUP_RETRY_LIMIT)
+        .map_err(ProgramError::Runtime)?
+        .block_on(run())
 }
 
 /// What several parts of the process share.
@@ -102,12 +101,8 @@
 }
 
 async fn run() -> Result<(), ProgramError> {
-    // Before anything else: a signal that is not caught ends the process.
-    let Signals {
-        hangup,
-        mut shutdown,
-    } = Signals::catch()?;
-    let mut process = ServingProcess::start(hangup).await?;
+    let Signals { reload, shutdown } = Signals::open(STARTUP_RETRY_LIMIT).await?;
+    let mut process = ServingProcess::start(reload).await?;
     tokio::select! {
         () = shutdown.received() => {}
         // Without timers no request would end. A process that exits is noticed at once.
@@ -118,8 +113,8 @@
 }
 
 impl ServingProcess {
-    /// Starts all parts of the process. Each hangup signal reloads the configuration.
-    async fn start(hangup: Signal) -> Result<ServingProcess, ProgramError> {
+    /// Starts all parts of the process. Each `reload` signal reloads the configuration.
+    async fn start(reload: SignalStream) -> Result<ServingProcess, ProgramError> {
         let clock = Clock::start();
         let config = load_config(STARTUP_RETRY_LIMIT).await?;
         start_events(&config.name);
@@ -132,7 +127,7 @@
             timers,
             discovery,
         } = start_control_plane(&config, clock, cached_snapshot, addresses, &parts)?;
-        let reloads = follow_reloads(hangup, discovery_address, parts.metrics.clone());
+        let reloads = follow_reloads(reload, discovery_address, parts.metrics.clone());
         tokio::task::spawn_local(reloads);
         tokio::task::spawn_local(discovery.run(handle.clone()));
         let coordinator = start_admin(&config, admin_listener, &handle, &parts).await?;
@@ -142,7 +137,7 @@
             Some(coordinator) => coordinator.serve().await,
             None => drop(parts.phase.send_replace(Phase::Serving)),
         }
-        eprintln!("{}: serving on {address}", config.name);
+        log_line!("{}: serving on {address}", config.name);
         Ok(ServingProcess {
             config,
             parts,
@@ -155,7 +150,7 @@
 
     /// Shuts down: serves the clients to the end, for as long as the schedule allows.
     async fn shut_down(self) {
-        eprintln!("{}: shutdown requested", self.config.name);
+        log_line!("{}: shutdown requested", self.config.name);
         let shutdown = Shutdown {
             name: &self.config.name,
             requested_at: Instant::now(),
@@ -176,7 +171,7 @@
         Ok(snapshot) => snapshot.as_ref(),
         Err(error) => {
             let message = error.to_string().replace('\n', " ");
-            eprintln!("{}: known: {message}: ignored", config.name);
+            log_line!("{}: known: {message}: ignored", config.name);
             None
         }
     }
@@ -224,13 +219,11 @@
 
 /// Listens for operators, if there is an address for them. This happens before anything else is started, so that a
 /// wrong address ends the process with one line.
-async fn listen_for_admin(
-    address: Option<SocketAddr>,
-) -> Result<Option<TcpListener>, ProgramError> {
+async fn listen_for_admin(address: Option<SocketAddr>) -> Result<Option<Listener>, ProgramError> {
     let Some(address) = address else {
         return Ok(None);
     };
-    match retry_io(STARTUP_RETRY_LIMIT, || listen(address, false)).await {
+    match retry_io(STARTUP_RETRY_LIMIT, || Listener::bind(address, false)).await {
         Ok(listener) => Ok(Some(listener)),
         Err(source) => Err(ProgramError::AdminListen { address, source }),
     }
@@ -239,7 +232,7 @@
 /// Starts the admin server, if there is a listener for it, and prepares this process for serving beside others.
 async fn start_admin(
     config: &Config,
-    listener: Option<TcpListener>,
+    listener: Option<Listener>,
     handle: &DriverHandle,
     parts: &SharedParts,
 ) -> Result<Option<Rc<ProcessCoordinator>>, ProgramError> {
@@ -247,7 +240,7 @@
         return Ok(None);
     };
     let address = listener.local_addr().map_err(ProgramError::AdminAddress)?;
-    eprintln!("{}: admin endpoint listens on {address}", config.name);
+    log_line!("{}: admin endpoint listens on {address}", config.name);
     let overrides = OverrideSync::new(
         handle.clone(),
         parts.phase.clone(),
@@ -287,9 +280,11 @@
 ) -> Result<(JoinHandle<()>, SocketAddr), ProgramError> {
     let address = config.listen_address;
     let failed = |source: io::Error| ProgramError::Listen { address, source };
-    let listener = retry_io(STARTUP_RETRY_LIMIT, || listen(address, shares_address))
-        .await
-        .map_err(failed)?;
+    let listener = retry_io(STARTUP_RETRY_LIMIT, || {
+        Listener::bind(address, shares_address)
+    })
+    .await
+    .map_err(failed)?;
     let local_address = listener.local_addr().map_err(failed)?;
     let server = Server::new(
         handle.clone(),
@@ -302,18 +297,3 @@
     let task = tokio::task::spawn_local(server.run(listener));
     Ok((task, local_address))
 }
-
-/// Listens at an address, which another process of this balancer may share.
-fn listen(address: SocketAddr, shares_address: bool) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    if shares_address {
-        socket.set_reuseport(true)?;
-    }
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
