--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -11,6 +11,7 @@
 mod http;
 mod listeners;
 mod raw_http;
+mod scripted_discovery;
 mod stub_discovery;
 mod stub_upstream;
 
@@ -21,6 +22,7 @@
 pub use http::*;
 pub use listeners::*;
 pub use raw_http::*;
+pub use scripted_discovery::*;
 pub use stub_discovery::*;
 pub use stub_upstream::*;
 
--- /dev/null
+++ b/balancer/tests/poll_notices.rs
@@ -0,0 +1,481 @@
+//! Notices in poll mode: in whatever order the change of an endpoint, the calls for the list and requests come, nothing
+//! new goes to an upstream later than the drain grace after the notice counts. It counts once discovery has written it,
+//! and at the latest 6 s after discovery had it and could be reached.
+//!
+//! Each test forces one order with a discovery that it scripts. Pauses between calls are random, so that each order is
+//! played by several balancers with seeds of their own.
+// A helper that fails ends its test, as an assertion does.
+#![allow(clippy::expect_used)]
+mod common;
+use common::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How many balancers play an order, each with a seed of its own.
+const BALANCERS: u64 = 12;
+/// Time between two requests of a balancer's client.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// The drain grace of the settings.
+const DRAIN_GRACE: Duration = Duration::from_millis(300);
+/// Time that is granted for the way of a request over a busy machine.
+const SLACK: Duration = Duration::from_millis(50);
+/// How long a watch stands before the change.
+const WARM_UP: Duration = Duration::from_millis(500);
+/// How long requests go on after the notice counts: longer than any pause between two calls.
+const OBSERVATION: Duration = Duration::from_secs(4);
+/// How long discovery lets a call wait in its queue before it rejects it.
+const QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a test waits for discovery to come back.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(40);
+/// The value of `ask_within` where an order does not depend on it.
+const ASK_WITHIN_MS: u64 = 10_000;
+
+const AT_ONCE: Duration = Duration::ZERO;
+
+/// What the notice says of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Notice {
+    Draining,
+    Removed,
+    /// Gone from the complete list, without an entry that says so.
+    Unlisted,
+    /// Serving again after a restart just now; requests may go to it.
+    Restarted,
+}
+
+/// When requests arrived at an upstream.
+type Arrivals = Arc<Mutex<Vec<Instant>>>;
+
+/// What one balancer did, in time since the notice counted.
+#[derive(Debug)]
+struct Outcome {
+    /// The balancer's seed, for the message of a failed test.
+    #[allow(dead_code)]
+    seed: u64,
+    /// When the last request arrived at the upstream; `None` if that was before the notice counted.
+    last_arrival: Option<Duration>,
+    /// When the balancer showed that it has applied the change; `None` if it has not.
+    applied: Option<Duration>,
+    /// Whether requests arrived at the upstream before the notice counted.
+    was_used: bool,
+}
+
+impl Outcome {
+    fn breaks_rule(&self, notice: Notice) -> bool {
+        let limit = DRAIN_GRACE + SLACK;
+        let is_applied = self.applied.is_some_and(|applied| applied <= limit);
+        let is_sent_late = self.last_arrival.is_some_and(|arrival| arrival > limit);
+        !self.was_used || !is_applied || (is_sent_late && notice != Notice::Restarted)
+    }
+}
+
+/// An order of calls and the notice.
+#[derive(Clone, Debug)]
+struct Order {
+    notice: Notice,
+    script: Vec<Step>,
+    ask_within_ms: u64,
+    /// What the leaving upstream does with requests.
+    reply: fn() -> Reply,
+    start: Start,
+}
+
+/// When the balancer starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// Its watch stands before the change.
+    BeforeTheChange,
+    /// It starts after the change, with the list of before.
+    AfterTheChange,
+}
+
+fn served() -> Reply {
+    ok_response("x")
+}
+
+impl Order {
+    fn new(script: Vec<Step>) -> Order {
+        Order {
+            notice: Notice::Draining,
+            script,
+            ask_within_ms: ASK_WITHIN_MS,
+            reply: served,
+            start: Start::BeforeTheChange,
+        }
+    }
+
+    fn with_reply(mut self, reply: fn() -> Reply) -> Order {
+        self.reply = reply;
+        self
+    }
+
+    fn with_start(mut self, start: Start) -> Order {
+        self.start = start;
+        self
+    }
+
+    fn with_notice(mut self, notice: Notice) -> Order {
+        self.notice = notice;
+        self
+    }
+
+    fn with_ask_within(mut self, ask_within_ms: u64) -> Order {
+        self.ask_within_ms = ask_within_ms;
+        self
+    }
+
+    /// Plays the order with all balancers, and asserts the rule.
+    fn assert_nothing_is_sent_late(&self) {
+        let results: Vec<Outcome> = thread::scope(|scope| {
+            let players: Vec<_> = (0..BALANCERS)
+                .map(|seed| scope.spawn(move || self.play(seed)))
+                .collect();
+            players
+                .into_iter()
+                .map(|player| player.join().expect("a balancer plays"))
+                .collect()
+        });
+        let violations: Vec<_> = results
+            .iter()
+            .filter(|outcome| outcome.breaks_rule(self.notice))
+            .collect();
+        assert!(
+            violations.is_empty(),
+            "{} of {BALANCERS} balancers broke the rule: {violations:#?}",
+            violations.len()
+        );
+    }
+
+    fn play(&self, seed: u64) -> Outcome {
+        let (arrivals, leaving) = recording_upstream(self.reply);
+        let (_, staying) = recording_upstream(served);
+        let lists = self.lists(&leaving, &staying);
+        let discovery = ScriptedDiscovery::start(lists.clone());
+        let config = poll_config(&discovery, seed, self.ask_within_ms, &lists.before);
+        if self.start == Start::AfterTheChange {
+            discovery.play(&self.script);
+        }
+        let balancer = BalancerProcess::run(balancer_command(&config), StubDiscovery::start());
+        let load = Load::start(&balancer);
+        if self.start == Start::BeforeTheChange {
+            thread::sleep(WARM_UP);
+            discovery.play(&self.script);
+        }
+        let notified_at = observe(&discovery);
+        load.stop();
+        let arrivals = arrivals.lock().expect("no panic");
+        let since_notice = |at: &Instant| at.checked_duration_since(notified_at);
+        Outcome {
+            seed,
+            last_arrival: arrivals.iter().filter_map(since_notice).max(),
+            applied: discovery
+                .followed_at()
+                .map(|at| at.saturating_duration_since(notified_at)),
+            was_used: arrivals.iter().any(|at| *at < notified_at),
+        }
+    }
+
+    fn lists(&self, leaving: &StubUpstream, staying: &StubUpstream) -> ListHistory {
+        let entry = |state| (0, leaving.address, state);
+        let other = (1, staying.address, "active");
+        let before = vec![entry("active"), other];
+        match self.notice {
+            Notice::Draining => ListHistory::new(
+                &before,
+                &vec![entry("leaving")],
+                &vec![entry("leaving"), other],
+            ),
+            Notice::Removed => ListHistory::new(&before, &vec![entry("left")], &vec![other]),
+            Notice::Unlisted => ListHistory::with_complete_change(&before, &vec![other]),
+            Notice::Restarted => ListHistory::with_restart(&before, unix_time_ms()),
+        }
+    }
+}
+
+/// An upstream that records when requests arrive.
+fn recording_upstream(reply: fn() -> Reply) -> (Arrivals, StubUpstream) {
+    let arrivals = Arrivals::default();
+    let recorded = arrivals.clone();
+    let upstream = StubUpstream::start(move |_| {
+        recorded.lock().expect("no panic").push(Instant::now());
+        reply()
+    });
+    (arrivals, upstream)
+}
+
+fn unix_time_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the clock is past 1970")
+        .as_millis()
+}
+
+/// The configuration of a balancer that polls this discovery.
+fn poll_config(
+    discovery: &ScriptedDiscovery,
+    seed: u64,
+    ask_within_ms: u64,
+    known: &str,
+) -> String {
+    let invariants = format!(
+        "\"ask_within\":{ask_within_ms},\"drain_grace\":{}",
+        DRAIN_GRACE.as_millis()
+    );
+    // Balancers are told seeds that differ in all bits.
+    let seed = format!("{:016x}", (seed + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    balancer_config(discovery.address, 1024, known)
+        .replace("\"drain_grace\":1000", &invariants)
+        .replace("8c1f30d27a5be964", &seed)
+}
+
+/// Waits until the notice has counted for [`OBSERVATION`], and returns when it counted.
+fn observe(discovery: &ScriptedDiscovery) -> Instant {
+    let started_at = Instant::now();
+    loop {
+        match discovery.notified_at() {
+            Some(at) if at.elapsed() > OBSERVATION => return at,
+            _ => thread::sleep(REQUEST_INTERVAL),
+        }
+        assert!(
+            started_at.elapsed() < RECOVERY_TIMEOUT,
+            "the script did not reach discovery's return: {:?}",
+            discovery.calls()
+        );
+    }
+}
+
+/// A client that sends requests one after the other.
+struct Load {
+    is_stopped: Arc<AtomicBool>,
+    client: thread::JoinHandle<()>,
+}
+
+impl Load {
+    fn start(balancer: &BalancerProcess) -> Load {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stopped = is_stopped.clone();
+        let mut client = balancer.client();
+        let client = thread::spawn(move || {
+            for number in 0.. {
+                if stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                client.call(&get_request(&format!("r{number}"), "2000m"));
+                thread::sleep(REQUEST_INTERVAL);
+            }
+        });
+        Load { is_stopped, client }
+    }
+
+    fn stop(self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        self.client.join().expect("every request is answered");
+    }
+}
+
+/// The first script step ends the watch: discovery is gone.
+fn outage(calls: &[CallReply], last: Step) -> Vec<Step> {
+    let mut script: Vec<Step> = calls.iter().copied().map(Step::new).collect();
+    script.push(last);
+    script
+}
+
+const REJECT: CallReply = CallReply::Reject(AT_ONCE);
+const REJECT_AFTER_QUEUE: CallReply = CallReply::Reject(QUEUE_TIMEOUT);
+const SERVE_AFTER_QUEUE: CallReply = CallReply::Serve(Duration::from_millis(1900));
+
+#[test]
+fn notice_on_a_watch_that_stands() {
+    for notice in [
+        Notice::Draining,
+        Notice::Removed,
+        Notice::Unlisted,
+        Notice::Restarted,
+    ] {
+        Order::new(vec![])
+            .with_notice(notice)
+            .assert_nothing_is_sent_late();
+    }
+}
+
+/// Retries after failures of the upstream that drains stay away from it as first attempts do.
+#[test]
+fn notice_while_attempts_fail_and_are_retried() {
+    let declined = || empty_response("503 Service Unavailable\r\nSrv-Declined: 1");
+    for reply in [declined, || Reply::Close] {
+        Order::new(vec![])
+            .with_reply(reply)
+            .assert_nothing_is_sent_late();
+    }
+}
+
+#[test]
+fn one_rejection_before_discovery_returns() {
+    Order::new(outage(&[], Step::recovering_after(REJECT))).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn two_rejections_before_discovery_returns() {
+    Order::new(outage(&[REJECT], Step::recovering_after(REJECT))).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn three_rejections_before_discovery_returns() {
+    let order = Order::new(outage(&[REJECT; 2], Step::recovering_after(REJECT)));
+    order.assert_nothing_is_sent_late();
+}
+
+#[test]
+fn three_rejections_before_discovery_returns_and_a_queue_behind_them() {
+    let mut script = outage(&[REJECT; 2], Step::recovering_after(REJECT));
+    script.push(Step::new(SERVE_AFTER_QUEUE));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+/// The call under way when discovery comes back is rejected all the same.
+#[test]
+fn discovery_returns_during_the_first_call_that_it_rejects_late() {
+    let order = Order::new(outage(
+        &[REJECT],
+        Step::recovering_during(REJECT_AFTER_QUEUE),
+    ));
+    order.assert_nothing_is_sent_late();
+}
+
+#[test]
+fn discovery_returns_during_the_second_call_that_it_rejects_late() {
+    let order = Order::new(outage(
+        &[REJECT, REJECT_AFTER_QUEUE],
+        Step::recovering_during(REJECT_AFTER_QUEUE),
+    ));
+    order.assert_nothing_is_sent_late();
+}
+
+#[test]
+fn discovery_returns_during_a_call_that_it_rejects_late_and_a_queue_behind_it() {
+    let mut script = outage(&[REJECT], Step::recovering_during(REJECT_AFTER_QUEUE));
+    script.push(Step::new(SERVE_AFTER_QUEUE));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+/// `ask_within` is a figure of the simulator: on sockets a change gets 6 s whatever it says, or less.
+#[test]
+fn discovery_returns_during_a_late_rejection_with_a_small_ask_within() {
+    for ask_within_ms in [1000, 3000] {
+        Order::new(outage(
+            &[REJECT, REJECT_AFTER_QUEUE],
+            Step::recovering_during(REJECT_AFTER_QUEUE),
+        ))
+        .with_ask_within(ask_within_ms)
+        .assert_nothing_is_sent_late();
+    }
+}
+
+/// Failures of another kind must not make the pause after the first rejection long.
+#[test]
+fn discovery_returns_after_resets_and_its_queue_rejects_the_first_call() {
+    let mut script = outage(
+        &[CallReply::Reset; 3],
+        Step::recovering_after(CallReply::Reset),
+    );
+    script.push(Step::new(REJECT_AFTER_QUEUE));
+    script.push(Step::new(CallReply::Serve(Duration::from_millis(500))));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn discovery_returns_after_resets_and_is_full_at_the_first_call() {
+    let mut script = outage(
+        &[CallReply::Reset; 3],
+        Step::recovering_after(CallReply::Reset),
+    );
+    script.push(Step::new(REJECT));
+    script.push(Step::new(CallReply::Serve(Duration::from_millis(700))));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn discovery_returns_after_it_refused_connections() {
+    let refused = CallReply::RefuseConnections(Duration::from_secs(4));
+    let mut script = outage(&[], Step::recovering_after(refused));
+    script.push(Step::new(SERVE_AFTER_QUEUE));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn a_watch_falls_silent() {
+    let mut script = vec![Step::recovering_during(CallReply::Ignore)];
+    script.push(Step::new(SERVE_AFTER_QUEUE));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn a_watch_falls_silent_and_the_next_call_is_rejected() {
+    let script = vec![
+        Step::recovering_during(CallReply::Ignore),
+        Step::new(REJECT),
+        Step::new(CallReply::Serve(Duration::from_millis(1500))),
+    ];
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+/// The balancer gives a call up; discovery comes back before the next one.
+#[test]
+fn discovery_returns_during_a_call_that_is_given_up() {
+    let mut script = outage(
+        &[REJECT, CallReply::Ignore, CallReply::Ignore],
+        Step::recovering_during(CallReply::Ignore),
+    );
+    script.push(Step::new(CallReply::Serve(Duration::from_millis(1800))));
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+#[test]
+fn half_a_list_and_an_older_one_come_before_the_change() {
+    let script = vec![
+        Step::recovering_during(CallReply::Truncate),
+        Step::new(CallReply::ServeOlderList(QUEUE_TIMEOUT)),
+        Step::new(CallReply::Serve(Duration::from_secs(1))),
+    ];
+    Order::new(script).assert_nothing_is_sent_late();
+}
+
+/// All that can go wrong with a call, one after the other, before discovery returns.
+#[test]
+fn discovery_returns_after_failures_of_all_kinds() {
+    let script = outage(
+        &[
+            REJECT,
+            CallReply::Truncate,
+            CallReply::Reset,
+            CallReply::ServeOlderList(AT_ONCE),
+            REJECT_AFTER_QUEUE,
+            CallReply::Ignore,
+        ],
+        Step::recovering_during(REJECT_AFTER_QUEUE),
+    );
+    for notice in [Notice::Draining, Notice::Removed, Notice::Restarted] {
+        Order::new(script.clone())
+            .with_notice(notice)
+            .assert_nothing_is_sent_late();
+    }
+}
+
+/// A balancer that comes back with the list of before while discovery rejects its calls.
+#[test]
+fn balancer_restarts_with_a_cached_list_while_discovery_rejects_calls() {
+    let scripts = [
+        outage(&[REJECT], Step::recovering_after(REJECT)),
+        outage(
+            &[REJECT_AFTER_QUEUE],
+            Step::recovering_during(REJECT_AFTER_QUEUE),
+        ),
+    ];
+    for script in scripts {
+        Order::new(script)
+            .with_start(Start::AfterTheChange)
+            .assert_nothing_is_sent_late();
+    }
+}
