Start each call for the list within 3.9 s of the one before

Cause: the pause after a rejected call was counted from the end of the call, grew to 4.5 s, and doubled with failures of other kinds. Discovery takes 2 s to reject a call, so that calls started 6.5 s apart, while a change gets 6 s.

Change: a rejected call is repeated at random before a deadline, 3.9 s after the start of the call (after the last confirmation of the list, if a watch failed before it), which leaves 2.1 s of the 6 s for a wait in the queue. After a migration and without endpoints the pauses are as before.

The suites of both crates pass, none was changed.

--- a/balancer-core/src/policy.rs
+++ b/balancer-core/src/policy.rs
@@ -38,7 +38,7 @@
 
 /// Token of the timer that ends an admission cycle.
 const ADMISSION_CYCLE_TIMER: u32 = 0;
-/// Token of the timer that ends a backoff of polling.
+/// Token of the timer that ends a pause of polling.
 const POLL_TIMER: u32 = 1;
 /// Smallest random fraction of the first cycle, so that replicas that start together do not stay in step.
 const MIN_FIRST_CYCLE: f64 = 0.5;
@@ -98,7 +98,7 @@
         let now = if now.is_finite() { now } else { 0.0 };
         if !self.is_started {
             self.is_started = true;
-            self.start(actions);
+            self.start(now, actions);
         }
         self.dispatch(now, event, actions);
     }
@@ -143,14 +143,14 @@
     }
 
     /// Sets the first timer, and polls the endpoint list if it is not pushed.
-    fn start(&mut self, actions: &mut Vec<Action>) {
+    fn start(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let fraction = MIN_FIRST_CYCLE + (1.0 - MIN_FIRST_CYCLE) * self.random.fraction();
         actions.push(Action::SetTimer {
             after: ADMISSION_CYCLE * fraction,
             token: ADMISSION_CYCLE_TIMER,
         });
         if self.settings.poll_endpoints {
-            actions.push(Action::PollEndpoints);
+            self.poll(now, actions);
         }
     }
 
@@ -182,6 +182,11 @@
         self.record_load(now);
     }
 
+    fn poll(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.polling.record_call(now);
+        actions.push(Action::PollEndpoints);
+    }
+
     fn poll_after_failure(&mut self, now: Millis, failure: CallFailure, actions: &mut Vec<Action>) {
         if !self.settings.poll_endpoints {
             return;
@@ -213,7 +218,7 @@
     fn handle_timer(&mut self, now: Millis, token: u32, actions: &mut Vec<Action>) {
         match token {
             ADMISSION_CYCLE_TIMER => self.end_cycle(now, actions),
-            POLL_TIMER => actions.push(Action::PollEndpoints),
+            POLL_TIMER => self.poll(now, actions),
             _ => {}
         }
     }
--- a/balancer-core/src/policy/endpoint_polling.rs
+++ b/balancer-core/src/policy/endpoint_polling.rs
@@ -1,4 +1,10 @@
 //! Polling of the endpoint list: when a failed call is repeated, and whether the list is stale.
+//!
+//! A change counts as notified [`NOTIFICATION_DEADLINE`] after discovery had it and could be reached, whether this
+//! replica knows it or not. A failed call does not show when discovery returns: at worst right after the call started.
+//! So each call starts within [`max_call_interval`] of the start of the one before, however long that one took and
+//! however many have failed, and what is left of the deadline covers a wait in discovery's queue. Within the interval
+//! a call that was rejected is repeated at random: the fewer replicas of a fleet call at once, the fewer are rejected.
 use crate::policy::random::Random;
 use crate::settings::Settings;
 use crate::time::Millis;
@@ -9,17 +15,23 @@
 const MAX_FAILURE_BACKOFF_DIVISOR: f64 = 3.0;
 /// Smallest random fraction of a backoff after failed calls.
 const MIN_FAILURE_JITTER: f64 = 0.5;
-/// Backoff after a first rejected call; doubles with each further one. Longer than after a failure, so that
-/// many replicas that lost discovery together do not overload it again.
-const REJECTION_BACKOFF: Millis = 2000.0;
-/// The same while the list is stale: after a restart of discovery, each replica has many changes to receive.
-const STALE_REJECTION_BACKOFF: Millis = 3500.0;
-/// Largest backoff after rejected calls, as a multiple of `poll_acknowledge_timeout`.
-const MAX_REJECTION_BACKOFF_MULTIPLE: f64 = 1.5;
-/// Smallest random fraction of a backoff after rejected calls.
-const MIN_REJECTION_JITTER: f64 = 0.2;
 /// Limit of the doubling, so that it cannot overflow.
 const MAX_DOUBLINGS: u32 = 10;
+/// A change counts as notified at the latest this long after discovery had it and could be reached.
+const NOTIFICATION_DEADLINE: Millis = 6000.0;
+/// The same as a multiple of `poll_acknowledge_timeout`, where that is less.
+const NOTIFICATION_DEADLINE_MULTIPLE: f64 = 4.0;
+/// Time in which discovery serves a call or rejects it: it lets calls wait in its queue for 2 s.
+const MAX_RESPONSE_TIME: Millis = 2100.0;
+/// Calls that are rejected at once are not repeated more often than this, whatever the settings say.
+const MIN_CALL_INTERVAL: Millis = 1000.0;
+/// Shortest time in which a rejected call is repeated, before jitter.
+const MIN_REJECTION_PAUSE: Millis = 300.0;
+/// Largest pause after a rejected call at an address that discovery has migrated to. Discovery soon counts this
+/// replica as notified.
+const MIGRATION_PAUSE: Millis = 2000.0;
+/// Smallest random fraction of a pause after rejected calls.
+const MIN_REJECTION_JITTER: f64 = 0.2;
 
 /// Why a call for the list failed.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -30,16 +42,20 @@
     Rejected,
 }
 
-struct Backoff {
-    first: Millis,
-    max: Millis,
-    min_jitter: f64,
+/// Longest time between the starts of two calls.
+fn max_call_interval(settings: &Settings) -> Millis {
+    let deadline = NOTIFICATION_DEADLINE
+        .min(settings.poll_acknowledge_timeout * NOTIFICATION_DEADLINE_MULTIPLE);
+    (deadline - MAX_RESPONSE_TIME).max(MIN_CALL_INTERVAL)
 }
 
 /// The state of the calls to discovery.
 #[derive(Default)]
 pub(super) struct EndpointPolling {
+    /// Consecutive calls that failed and were not rejected.
     consecutive_failures: u32,
+    /// When the call under way started. `None` for a call of a watch that stands.
+    call_started_at: Option<Millis>,
     /// When discovery last confirmed the list.
     confirmed_at: Option<Millis>,
     /// When discovery last migrated.
@@ -47,17 +63,23 @@
 }
 
 impl EndpointPolling {
+    pub(super) fn record_call(&mut self, now: Millis) {
+        self.call_started_at = Some(now);
+    }
+
     pub(super) fn record_response(&mut self, now: Millis) {
         self.consecutive_failures = 0;
+        self.call_started_at = None;
         self.confirmed_at = Some(now);
     }
 
     pub(super) fn record_migration(&mut self, now: Millis) {
         self.consecutive_failures = 0;
+        self.call_started_at = None;
         self.migrated_at = Some(now);
     }
 
-    /// Records a failed call and returns the backoff before the next one. It stays short while no endpoint is
+    /// Records a failed call and returns the pause before the next one. It stays short while no endpoint is
     /// ready.
     pub(super) fn record_failure(
         &mut self,
@@ -67,40 +89,49 @@
         settings: &Settings,
         random: &mut Random,
     ) -> Millis {
+        let call_started_at = self.call_started_at.take();
+        let (pause, min_jitter) = match failure {
+            CallFailure::Rejected if has_ready_endpoint => {
+                let next_call_by = self.next_call_by(call_started_at, now, settings);
+                (next_call_by - now, MIN_REJECTION_JITTER)
+            }
+            CallFailure::Rejected | CallFailure::Failed => {
+                (self.next_failure_backoff(settings), MIN_FAILURE_JITTER)
+            }
+        };
+        pause * (min_jitter + (1.0 - min_jitter) * random.fraction())
+    }
+
+    fn next_failure_backoff(&mut self, settings: &Settings) -> Millis {
         let multiple = f64::from(1u32 << self.consecutive_failures.min(MAX_DOUBLINGS));
         self.consecutive_failures += 1;
-        let backoff = match failure {
-            CallFailure::Rejected if has_ready_endpoint => self.rejection_backoff(settings, now),
-            CallFailure::Rejected | CallFailure::Failed => Backoff {
-                first: FAILURE_BACKOFF,
-                max: settings.poll_acknowledge_timeout / MAX_FAILURE_BACKOFF_DIVISOR,
-                min_jitter: MIN_FAILURE_JITTER,
-            },
-        };
-        let jitter = backoff.min_jitter + (1.0 - backoff.min_jitter) * random.fraction();
-        (backoff.first * multiple).min(backoff.max) * jitter
+        let max = settings.poll_acknowledge_timeout / MAX_FAILURE_BACKOFF_DIVISOR;
+        (FAILURE_BACKOFF * multiple).min(max)
     }
 
-    fn rejection_backoff(&self, settings: &Settings, now: Millis) -> Backoff {
+    /// When the call after a rejected one has to start at the latest.
+    fn next_call_by(
+        &self,
+        call_started_at: Option<Millis>,
+        now: Millis,
+        settings: &Settings,
+    ) -> Millis {
         let has_migrated = self
             .migrated_at
             .is_some_and(|at| now - at < settings.poll_acknowledge_timeout);
         if has_migrated {
-            // Discovery soon counts this replica as notified, so it must call again before that.
-            return Backoff {
-                first: REJECTION_BACKOFF,
-                max: REJECTION_BACKOFF,
-                min_jitter: MIN_REJECTION_JITTER,
-            };
+            return now + MIGRATION_PAUSE;
         }
-        Backoff {
-            first: if self.is_stale(settings, now) {
-                STALE_REJECTION_BACKOFF
-            } else {
-                REJECTION_BACKOFF
-            },
-            max: settings.poll_acknowledge_timeout * MAX_REJECTION_BACKOFF_MULTIPLE,
-            min_jitter: MIN_REJECTION_JITTER,
+        let interval = max_call_interval(settings);
+        let earliest = now + MIN_REJECTION_PAUSE;
+        let Some(call_started_at) = call_started_at else {
+            // Discovery had nothing to tell the watch until it rejected its call.
+            return now + interval;
+        };
+        // A watch that failed may have missed changes since the list was confirmed.
+        match self.confirmed_at.map(|at| at + interval) {
+            Some(next_call_by) if next_call_by >= earliest => next_call_by,
+            _ => (call_started_at + interval).max(earliest),
         }
     }
 
