Let a successor that polls wait for its list before it serves

Cause: a process that starts beside another one waited 2 s for its first list, as long as discovery lets a call wait in its queue. If that call was rejected, the successor served with its cached list in the same millisecond, while its predecessor had been notified of a drain. Also, a response that nothing has changed did not end the wait.

Change: 8 s where lists are polled, ended by any complete response, or by the end of the predecessor.

--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -15,8 +15,13 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a process that starts waits until the system can read the overrides.
 const OVERRIDE_READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a process that starts beside another one waits for its first endpoint list.
-const ENDPOINT_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a process that starts beside another one waits for its first endpoint list if lists are pushed: its agent
+/// responds at once, or not before discovery is back.
+pub const PUSHED_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same if lists are polled. Discovery may reject a call after 2 s in its queue, and a balancer has its list at the
+/// latest 6 s after discovery can serve it. What the old process was notified of meanwhile counts for this one too. It
+/// must be ready within 10 s.
+pub const POLLED_LIST_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Coordinates this process with a predecessor and a successor.
 pub struct ProcessCoordinator {
@@ -24,6 +29,8 @@
     sockets: DescriptorBudget,
     phase: Rc<watch::Sender<Phase>>,
     overrides: Rc<OverrideSync>,
+    /// How long this process waits for its first endpoint list beside another one.
+    endpoint_list_timeout: Duration,
     /// This process's number among those of this balancer; zero until it is registered.
     process_number: Cell<u64>,
     /// Held once no other process of this balancer runs.
@@ -39,12 +46,14 @@
         sockets: DescriptorBudget,
         phase: Rc<watch::Sender<Phase>>,
         overrides: Rc<OverrideSync>,
+        endpoint_list_timeout: Duration,
     ) -> Rc<ProcessCoordinator> {
         Rc::new(ProcessCoordinator {
             driver,
             sockets,
             phase,
             overrides,
+            endpoint_list_timeout,
             process_number: Cell::new(0),
             process_lock: RefCell::default(),
             has_yielded: Cell::new(false),
@@ -63,8 +72,21 @@
         }
         eprintln!("another process of this balancer serves");
         self.sockets.yield_half().await;
-        // Without an update by then the cached list is used: waiting longer would not bring one sooner.
-        let _ = timeout(ENDPOINT_LIST_TIMEOUT, self.driver.endpoints_notified()).await;
+        // Without a list by then the cached one is used.
+        let _ = timeout(self.endpoint_list_timeout, self.endpoints_or_lock()).await;
+    }
+
+    /// Waits until discovery has confirmed or updated the endpoint list, or no other process serves any more.
+    async fn endpoints_or_lock(&self) {
+        while timeout(REFRESH_INTERVAL, self.driver.endpoints_notified())
+            .await
+            .is_err()
+        {
+            if self.try_lock_process().await {
+                self.sockets.reclaim();
+                return;
+            }
+        }
     }
 
     /// Reports to the predecessor that this process serves from now on, and starts to follow the other processes.
--- a/balancer/src/control/driver.rs
+++ b/balancer/src/control/driver.rs
@@ -24,7 +24,7 @@
     timers_changed: Notify,
     /// Notified when the decision module wants to know the endpoints.
     poll_requested: Notify,
-    /// Notified when an update of the endpoints is in force.
+    /// Notified when discovery has updated or confirmed the endpoints.
     endpoints_updated: Notify,
 }
 
@@ -77,7 +77,7 @@
         self.0.state.borrow().close_oldest_idle_connection();
     }
 
-    /// Waits until an update from discovery is in force.
+    /// Waits until an update from discovery is in force, or discovery has responded that there is none.
     pub async fn endpoints_notified(&self) {
         self.0.endpoints_updated.notified().await;
     }
--- a/balancer/src/control/driver/endpoint_updates.rs
+++ b/balancer/src/control/driver/endpoint_updates.rs
@@ -31,6 +31,7 @@
 
     fn endpoints_unchanged(&self) {
         self.handle_event(Event::Endpoints(EndpointEvent::Unchanged));
+        self.0.endpoints_updated.notify_one();
     }
 
     fn discovery_migrated(&self) {
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -1,7 +1,9 @@
 //! The balancer as a process: start-up and wiring.
 use crate::admin::override_store::OverrideStore;
 use crate::admin::override_sync::OverrideSync;
-use crate::admin::process_coordinator::ProcessCoordinator;
+use crate::admin::process_coordinator::{
+    ProcessCoordinator, POLLED_LIST_TIMEOUT, PUSHED_LIST_TIMEOUT,
+};
 use crate::admin::server::{self, AdminOptions, AdminServer};
 use crate::clock::{from_millis, Clock};
 use crate::control::control_plane::{ControlPlane, ControlPlaneOptions};
@@ -266,11 +268,20 @@
         parts.sockets.clone(),
         parts.phase.clone(),
         overrides,
+        endpoint_list_timeout(&config.deployment),
     );
     coordinator.prepare().await;
     Ok(Some(coordinator))
 }
 
+fn endpoint_list_timeout(deployment: &Deployment) -> Duration {
+    if deployment.policy.poll_endpoints {
+        POLLED_LIST_TIMEOUT
+    } else {
+        PUSHED_LIST_TIMEOUT
+    }
+}
+
 /// The folder that all processes of this balancer share, if there is one.
 fn override_folder() -> Option<PathBuf> {
     std::env::var_os("TMPDIR")
--- a/balancer/tests/poll_notices.rs
+++ b/balancer/tests/poll_notices.rs
@@ -559,3 +559,24 @@
     let took = started_at.elapsed();
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
+
+/// Clients have nobody else: the successor serves with its cached list.
+#[test]
+fn successor_serves_at_once_when_its_predecessor_has_died() {
+    let (_, upstream) = recording_upstream(served);
+    let before = vec![(0, upstream.address, "active")];
+    let lists = ListHistory::new(&before, &before, &before);
+    let folder = state_folder("died");
+    let discovery = [(); 2].map(|()| ScriptedDiscovery::start(lists.clone()));
+    let old = run_in_folder(&folder, &discovery[0], &lists.before, None);
+    let address = old.address;
+    discovery[1].play(&[Step::new(CallReply::Ignore); 4]);
+    let died_at = Instant::now() + WARM_UP;
+    thread::scope(|scope| {
+        scope.spawn(|| run_in_folder(&folder, &discovery[1], &lists.before, Some(address)));
+        thread::sleep(WARM_UP);
+        drop(old);
+    });
+    let took = died_at.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
