Have the soak say why a balancer counts as knowing that an upstream is unavailable

Cause: a violation named the delay only. Whether discovery had written a list, the process had started with it or the time for a notification was over had to be reconstructed from logs.

Change: each notice keeps its source and the report shows it with its time. What counts as notified, and when, stays.

--- a/soak/src/checker/availability.rs
+++ b/soak/src/checker/availability.rs
@@ -38,10 +38,12 @@
             .iter()
             .find(|period| self.is_within(attempt, period))?;
         let details = format!(
-            "{id}: balancer {} sent to upstream {} {:?} after it counts as knowing that it is unavailable ({cause:?})",
+            "{id}: balancer {} sent to upstream {} {:?} after it counts as knowing that it is unavailable ({cause:?}: {:?} at {:.3} s)",
             route.balancer,
             route.upstream,
-            attempt.started_at - period.start
+            attempt.started_at - period.start,
+            period.source,
+            self.seconds(period.start)
         );
         Some(self.violation(Rule::UnavailableUpstream, attempt.started_at, details))
     }
--- a/soak/src/checker/tests.rs
+++ b/soak/src/checker/tests.rs
@@ -4,7 +4,8 @@
 use crate::ids::{BalancerId, UpstreamId};
 use crate::limits::{Limits, SlowStartLimits};
 use crate::observations::{
-    AttemptOutcome, ClientOutcome, Observations, RequestStart, Route, UnavailabilityCause,
+    AttemptOutcome, ClientOutcome, NoticeSource, Observations, RequestStart, Route,
+    UnavailabilityCause,
 };
 use crate::request_class::Idempotency;
 use crate::rules::Rule;
@@ -103,7 +104,7 @@
     };
     record_request(&mut observations, "a", Idempotency::Idempotent);
     let notified_at = Instant::now() - Duration::from_secs(1);
-    observations.record_unavailable(route, notified_at);
+    observations.record_unavailable(route, notified_at, NoticeSource::ListResponse);
     record_attempt(&mut observations, "a", AttemptOutcome::Success);
     assert_eq!(violated_rules(&observations), [Rule::UnavailableUpstream]);
     observations.record_available(route, notified_at + DRAIN_GRACE);
--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -11,7 +11,7 @@
 
 use crate::discovery_mode::DiscoveryMode;
 use crate::ids::{BalancerId, UpstreamId};
-use crate::observations::{Observations, Route, UnavailabilityCause};
+use crate::observations::{NoticeSource, Observations, Route, UnavailabilityCause};
 use crate::recorder::Recorder;
 use endpoint_list::EndpointList;
 use queue::RequestQueue;
@@ -104,7 +104,7 @@
     /// The complete list, which a balancer gets at its start and knows from now on.
     pub fn snapshot(&self, balancer: BalancerId) -> String {
         let state = self.state();
-        self.record_notified(&state.list, balancer);
+        self.record_notified(&state.list, balancer, NoticeSource::StartupList);
         state.list.snapshot()
     }
 
@@ -125,7 +125,7 @@
     /// The current list for a balancer: the changes since a version, or a snapshot without one.
     fn list_for(&self, balancer: BalancerId, since_version: Option<u64>) -> String {
         let state = self.state();
-        self.record_notified(&state.list, balancer);
+        self.record_notified(&state.list, balancer, NoticeSource::ListResponse);
         match since_version {
             Some(version) => state.list.delta(version),
             None => state.list.snapshot(),
@@ -133,7 +133,7 @@
     }
 
     /// Records that a balancer knows the list from now on.
-    fn record_notified(&self, list: &EndpointList, balancer: BalancerId) {
+    fn record_notified(&self, list: &EndpointList, balancer: BalancerId, source: NoticeSource) {
         let now = Instant::now();
         let mut observations = self.recorder.lock();
         for (upstream, entry) in list.entries() {
@@ -142,7 +142,7 @@
             if entry.is_active() {
                 observations.record_available(route, known_since);
             } else {
-                observations.record_unavailable(route, known_since);
+                observations.record_unavailable(route, known_since, source);
             }
         }
     }
@@ -164,7 +164,11 @@
         for (upstream, entry) in state.list.entries() {
             let due_at = state.notification_due_at(self.mode, balancer, entry.changed_at());
             if now >= due_at && !entry.is_active() {
-                observations.record_unavailable(route(balancer, upstream), due_at);
+                observations.record_unavailable(
+                    route(balancer, upstream),
+                    due_at,
+                    NoticeSource::Deadline,
+                );
             }
         }
     }
--- a/soak/src/injector/overrides.rs
+++ b/soak/src/injector/overrides.rs
@@ -2,7 +2,7 @@
 use super::system_calls::{in_millionths, report_failure};
 use super::FaultInjector;
 use crate::ids::BalancerId;
-use crate::observations::{Route, UnavailabilityCause};
+use crate::observations::{NoticeSource, Route, UnavailabilityCause};
 use fault_injection::control::Fault as SyscallFault;
 use rand::RngExt;
 use std::ops::Range;
@@ -57,7 +57,11 @@
         while Instant::now() < ends_at {
             if self.suspend(balancer, &endpoint_id).await {
                 let mut observations = testbed.recorder().lock();
-                observations.record_unavailable(route, Instant::now());
+                observations.record_unavailable(
+                    route,
+                    Instant::now(),
+                    NoticeSource::OperatorCommand,
+                );
             }
             sleep(self.draw_duration(SUSPENSION_MS)).await;
             // The balancer may restore the endpoint even if its response does not arrive.
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -3,7 +3,7 @@
 mod request;
 mod surplus;
 
-pub use period::{Period, Route, UnavailabilityCause, UnavailablePeriod};
+pub use period::{NoticeSource, Period, Route, UnavailabilityCause, UnavailablePeriod};
 pub use request::{Attempt, AttemptOutcome, ClientOutcome, Request, RequestStart};
 
 use crate::ids::{BalancerId, UpstreamId};
@@ -206,12 +206,17 @@
     }
 
     /// Records that a balancer counts as knowing, from `since`, that it may not use an upstream.
-    pub fn record_unavailable(&mut self, route: Route, since: Instant) {
+    pub fn record_unavailable(&mut self, route: Route, since: Instant, source: NoticeSource) {
         let periods = self.unavailable.entry(route).or_default();
         match periods.iter_mut().find(|period| period.end.is_none()) {
-            Some(period) => period.start = period.start.min(since),
+            Some(period) if period.start <= since => {}
+            Some(period) => {
+                period.start = since;
+                period.source = source;
+            }
             None => periods.push(UnavailablePeriod {
                 start: since,
+                source,
                 end: None,
             }),
         }
--- a/soak/src/observations/period.rs
+++ b/soak/src/observations/period.rs
@@ -30,11 +30,26 @@
     pub cause: UnavailabilityCause,
 }
 
+/// Why a balancer counts as knowing that it may not use an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeSource {
+    /// Discovery has written a list to one of its processes.
+    ListResponse,
+    /// The list in the configuration that its process started with.
+    StartupList,
+    /// Discovery had the change and could be reached for as long as a notification may take.
+    Deadline,
+    /// It has confirmed an operator's command.
+    OperatorCommand,
+}
+
 /// A period in which an upstream may not be used.
 #[derive(Clone, Copy, Debug)]
 pub struct UnavailablePeriod {
     /// When the balancer counts as knowing.
     pub start: Instant,
+    /// Why it counts as knowing since then.
+    pub source: NoticeSource,
     /// When the upstream is available again; none while it is not.
     pub end: Option<Instant>,
 }
