Let the soak leave kinds of fault out of what a seed draws

Cause: which faults of a seed a violation needs could not be tried: `--only` draws other times and targets.

Change: `--without` removes kinds from the drawn plan; the others keep their times and seeds.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -41,6 +41,9 @@
     /// Inject only these kinds of fault, such as `restart,shorttransfers`.
     #[arg(long, value_delimiter = ',')]
     only: Vec<Fault>,
+    /// Leave these kinds of fault out of what a seed draws; the others stay as they are.
+    #[arg(long, value_delimiter = ',')]
+    without: Vec<Fault>,
     /// Multiplies the number of faults.
     #[arg(long, default_value_t = 1)]
     intensity: usize,
@@ -146,6 +149,7 @@
             balancers: arguments.balancers,
             upstreams: arguments.upstreams,
             only: arguments.only.clone(),
+            without: arguments.without.clone(),
             intensity: arguments.intensity,
             program: files.program.clone(),
             library: files.library.clone(),
--- a/soak/src/options.rs
+++ b/soak/src/options.rs
@@ -19,6 +19,8 @@
     pub upstreams: usize,
     /// The kinds of fault to inject; all if empty.
     pub only: Vec<Fault>,
+    /// The kinds of fault to leave out of what the seed draws.
+    pub without: Vec<Fault>,
     /// Multiplies the number of faults.
     pub intensity: usize,
     /// The balancer program.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -47,12 +47,13 @@
     testbed.start_balancers().await;
     let notification_records = tokio::spawn(record_notifications(testbed.clone()));
     let clients = start_clients(&testbed, options.seed);
-    let faults = draw_faults(
+    let mut faults = draw_faults(
         options.seed,
         options.length,
         &options.only,
         options.intensity,
     );
+    faults.retain(|planned| !options.without.contains(&planned.fault));
     let injections = start_injections(&testbed, &faults);
     sleep(options.length).await;
     for injection in injections {
