Test that a violation names the earliest notice and its source

Cause: the source of a notice was reported without a test.

Change: one test of the checker with three notices of one period.

--- a/soak/src/checker/tests.rs
+++ b/soak/src/checker/tests.rs
@@ -124,3 +124,25 @@
         .collect();
     assert!(find_overload(&spread, start, &limits).is_none());
 }
+
+#[test]
+fn names_the_earliest_notice_that_an_upstream_is_unavailable() {
+    let mut observations = Observations::new();
+    let route = Route {
+        balancer: BALANCER,
+        upstream: UPSTREAM,
+        cause: UnavailabilityCause::EndpointList,
+    };
+    record_request(&mut observations, "a", Idempotency::Idempotent);
+    let notified_at = Instant::now() - Duration::from_secs(1);
+    let earlier = notified_at - Duration::from_secs(1);
+    observations.record_unavailable(route, notified_at, NoticeSource::StartupList);
+    observations.record_unavailable(route, earlier, NoticeSource::ListResponse);
+    observations.record_unavailable(route, notified_at, NoticeSource::Deadline);
+    record_attempt(&mut observations, "a", AttemptOutcome::Success);
+    let violations = Checker::new(&limits(), &observations).check();
+    assert_eq!(violations.len(), 1);
+    let details = &violations[0].details;
+    assert!(details.contains("EndpointList: ListResponse"), "{details}");
+    assert!(details.contains(" 2."), "{details}");
+}
