Have the soak's stand-ins listen on a loopback address of their own

The soak logged "upstream 8 does not come back: Address already in use": while a stand-in is stopped, any process on 127.0.0.1 could get its port.

Change: upstreams and discovery's agents listen where the balancers of the run do, on an address made from the process id.

--- a/soak/src/balancer/address.rs
+++ b/soak/src/balancer/address.rs
@@ -1,7 +1,8 @@
 //! Addresses on which balancers listen.
 use super::error::BalancerError;
+use crate::loopback::loopback_address;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The first port. It lies below the ports that outgoing connections take.
@@ -19,9 +20,3 @@
         }
     }
 }
-
-/// A loopback address that soaks running at the same time do not use.
-fn loopback_address() -> Ipv4Addr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, high % 200 + 10, low, 3)
-}
--- a/soak/src/discovery/agent.rs
+++ b/soak/src/discovery/agent.rs
@@ -5,6 +5,7 @@
 use super::Discovery;
 use crate::discovery_mode::DiscoveryMode;
 use crate::ids::BalancerId;
+use crate::loopback::loopback_address;
 use crate::wire::{format_response, write_in_pieces, Message, MessageReader};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -79,7 +80,7 @@
         balancer: BalancerId,
         seed: u64,
     ) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((loopback_address(), 0)).await?;
         let address = listener.local_addr()?;
         let discovery = self.clone();
         tokio::spawn(async move {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fault;
 pub mod ids;
 pub mod limits;
+mod loopback;
 pub mod request_class;
 pub mod response_body;
 pub mod rules;
--- /dev/null
+++ b/soak/src/loopback.rs
@@ -0,0 +1,9 @@
+//! The loopback address of this soak. Soaks and tests that run at the same time use others, so that none of them can take the
+//! port of a stand-in that is stopped for a while.
+use std::net::Ipv4Addr;
+
+/// A loopback address that soaks running at the same time do not use.
+pub(crate) fn loopback_address() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high % 200 + 10, low, 3)
+}
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -6,6 +6,7 @@
 pub use profile::UpstreamProfile;
 
 use crate::ids::UpstreamId;
+use crate::loopback::loopback_address;
 use crate::recorder::Recorder;
 use state::State;
 use std::io;
@@ -30,7 +31,7 @@
         profile: UpstreamProfile,
         recorder: Arc<Recorder>,
     ) -> io::Result<Upstream> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((loopback_address(), 0)).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(State::new(id, seed, profile, recorder));
         let accept_task = tokio::spawn(accept_connections(listener, state.clone()));
