--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -53,6 +53,9 @@
     /// Folder for configurations and logs; by default one in the system's temporary folder.
     #[arg(long)]
     logs: Option<PathBuf>,
+    /// Keep the logs of runs that broke no rule, too.
+    #[arg(long)]
+    keep_logs: bool,
     /// Most violations of each rule to show for a run.
     #[arg(long, default_value_t = 12)]
     show: usize,
@@ -155,13 +158,17 @@
             library: files.library.clone(),
             folder: folder.join(format!("seed-{seed}")),
         };
-        passed &= play_seed(&runtime, options, arguments.show)?;
+        passed &= play_seed(&runtime, options, arguments)?;
     }
     Ok(passed)
 }
 
-/// Plays one run and prints its report. Returns whether it broke no rule; its logs are removed then.
-fn play_seed(runtime: &Runtime, options: RunOptions, max_shown: usize) -> Result<bool, SoakError> {
+/// Plays one run and prints its report. Returns whether it broke no rule; its logs are removed then, unless they are to be kept.
+fn play_seed(
+    runtime: &Runtime,
+    options: RunOptions,
+    arguments: &Arguments,
+) -> Result<bool, SoakError> {
     let folder = options.folder.clone();
     std::fs::create_dir_all(&folder).map_err(|source| SoakError::LogFolder {
         folder: folder.clone(),
@@ -174,11 +181,11 @@
         seed,
         mode,
         result: &result,
-        max_shown,
+        max_shown: arguments.show,
     };
     print!("{report}");
     let passed = result.violations.is_empty();
-    if passed {
+    if passed && !arguments.keep_logs {
         let _ = std::fs::remove_dir_all(&folder);
     } else {
         println!("  logs: {}", folder.display());
