Survive the end of many watches at once, and dials that cannot be watched

With `epoll_ctl` ADD failing one in two, 5 of 200 requests got 503 and a healthy upstream was ejected.

Causes: the 16th watch that ends in one turn of the loop has the runtime wake the loop, and panic if that fails. A dialled socket that could not be registered was thrown away; ENOSPC counted against its upstream.

Change: the end of a watch contains that panic, as the watch has ended by then and the loop's own thread needs no wake. A listener is never taken out of its watch. Dials register again every 10 ms within their time; ENOSPC is a shortage of this machine.

--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -161,14 +161,10 @@
     }
 }
 
-/// Accepts what is left in the listener's queue, and closes the listener. Asks the system, because
-/// the runtime learns of new connections only when it next polls.
+/// Accepts what is left in the listener's queue, and closes the listener.
 async fn accept_remaining(context: &Rc<ServerContext>, listener: Listener, queue_delay: Duration) {
-    let listener = listener.into_std();
-    while let Some((stream, _)) = accept_from_queue(|| listener.accept()).await {
-        let configured = stream.set_nonblocking(true);
-        let permit = acquire_permit(context).await;
-        let (Ok(()), Some(permit)) = (configured, permit) else {
+    while let Some(stream) = accept_from_queue(|| listener.accept_queued()).await {
+        let Some(permit) = acquire_permit(context).await else {
             continue;
         };
         let arrived_at = arrival_time(Instant::now(), queue_delay);
--- a/balancer/src/net/descriptor_budget.rs
+++ b/balancer/src/net/descriptor_budget.rs
@@ -15,6 +15,8 @@
 const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
+/// The loop watches as many descriptors as it may.
+const ENOSPC: i32 = 28;
 const EADDRNOTAVAIL: i32 = 99;
 const ENOBUFS: i32 = 105;
 
@@ -122,7 +124,7 @@
 pub fn is_resource_shortage(error: &io::Error) -> bool {
     matches!(
         error.raw_os_error(),
-        Some(ENOMEM | ENFILE | EMFILE | EADDRNOTAVAIL | ENOBUFS)
+        Some(ENOMEM | ENFILE | EMFILE | ENOSPC | EADDRNOTAVAIL | ENOBUFS)
     )
 }
 
--- a/balancer/src/net/listener.rs
+++ b/balancer/src/net/listener.rs
@@ -1,18 +1,15 @@
 //! Listening sockets, and the registration of the connections that they accept.
-use crate::net::tcp_stream::TcpStream;
+use crate::net::tcp_stream::{TcpStream, REGISTRATION_RETRY_DELAY};
 use crate::net::watched_descriptor::WatchedDescriptor;
 use crate::time::sleep;
 use socket2::{Domain, Socket, Type};
 use std::future::poll_fn;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::task::{ready, Context, Poll};
-use std::time::Duration;
+use std::task::{Context, Poll};
 
 /// Connections that may wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1024;
-/// Pause after a registration that failed.
-const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// A listening socket. Connections that it accepts are not registered with the loop yet, so that
 /// one whose registration fails is not lost.
@@ -39,9 +36,11 @@
 
     /// Polls for the next connection.
     pub fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<std::net::TcpStream>> {
-        let (stream, _) = ready!(self.0.poll_read(cx, TcpListener::accept))?;
-        stream.set_nonblocking(true)?;
-        Poll::Ready(Ok(stream))
+        self.0.poll_read(cx, |listener| {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            Ok(stream)
+        })
     }
 
     /// Waits for the next connection.
@@ -49,9 +48,12 @@
         poll_fn(|cx| self.poll_accept(cx)).await
     }
 
-    /// The listening socket, which the loop watches no longer.
-    pub fn into_std(self) -> TcpListener {
-        self.0.into_inner()
+    /// Accepts a connection that is in the queue now; fails with `WouldBlock` without one. Asks the
+    /// system, because the loop learns of new connections only when it next polls.
+    pub fn accept_queued(&self) -> io::Result<std::net::TcpStream> {
+        let (stream, _) = self.0.get().accept()?;
+        stream.set_nonblocking(true)?;
+        Ok(stream)
     }
 }
 
--- a/balancer/src/net/tcp_stream.rs
+++ b/balancer/src/net/tcp_stream.rs
@@ -1,14 +1,18 @@
 //! TCP connections that the loop watches. Unlike those of the runtime, one that cannot be watched for
 //! a moment is not lost.
 use crate::net::watched_descriptor::{RegistrationError, WatchedDescriptor};
+use crate::time::sleep;
 use socket2::{Domain, Socket, Type};
 use std::future::poll_fn;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::Interest;
 
+/// Pause after a registration that failed.
+pub const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// `errno` of a connection that is being established.
 const EINPROGRESS: i32 = 115;
 
@@ -27,7 +31,7 @@
             Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error),
             Ok(()) | Err(_) => {}
         }
-        let stream = TcpStream::register(socket.into()).map_err(|error| error.source)?;
+        let stream = TcpStream::register_repeatedly(socket.into()).await;
         poll_fn(|cx| stream.poll_write_ready(cx)).await?;
         match stream.0.get().take_error()? {
             Some(error) => Err(error),
@@ -42,6 +46,17 @@
         WatchedDescriptor::register(stream, Interest::READABLE | Interest::WRITABLE).map(TcpStream)
     }
 
+    /// Has the loop watch a connection, as soon as the system allows it. The caller limits the time.
+    async fn register_repeatedly(mut stream: std::net::TcpStream) -> TcpStream {
+        loop {
+            match TcpStream::register(stream) {
+                Ok(registered) => return registered,
+                Err(failed) => stream = failed.descriptor,
+            }
+            sleep(REGISTRATION_RETRY_DELAY).await;
+        }
+    }
+
     /// Polls until bytes or the end may be available.
     pub fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.0.poll_read_ready(cx)
--- a/balancer/src/net/watched_descriptor.rs
+++ b/balancer/src/net/watched_descriptor.rs
@@ -3,6 +3,7 @@
 use std::future::{poll_fn, Future};
 use std::io;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::pin;
 use std::task::{ready, Context, Poll, Waker};
 use thiserror::Error;
@@ -10,7 +11,19 @@
 use tokio::io::Interest;
 
 /// A descriptor that the loop watches. Its owner cannot be replaced while it is watched.
-pub struct WatchedDescriptor<T>(AsyncFd<Owner<T>>);
+pub struct WatchedDescriptor<T> {
+    /// Taken when dropped only.
+    watched: Option<AsyncFd<Owner<T>>>,
+}
+
+impl<T> Drop for WatchedDescriptor<T> {
+    /// The runtime wakes its loop when several watches have ended, and panics if that fails. By then
+    /// the watch has ended, and the loop, whose thread this is, need not be woken.
+    fn drop(&mut self) {
+        let watched = self.watched.take();
+        let _ = catch_unwind(AssertUnwindSafe(|| drop(watched)));
+    }
+}
 
 /// The loop could not watch a descriptor, which is unchanged.
 #[derive(Debug, Error)]
@@ -52,7 +65,10 @@
         // neither replaced nor given out before, and its number stays the same.
         #[allow(unsafe_code)]
         let watched = unsafe { AsyncFd::register_with_interest(owner, interest) };
-        watched.map(WatchedDescriptor).map_err(|error| {
+        let watched = watched.map(|watched| WatchedDescriptor {
+            watched: Some(watched),
+        });
+        watched.map_err(|error| {
             let (owner, source) = error.into_parts();
             RegistrationError {
                 descriptor: owner.descriptor,
@@ -68,12 +84,12 @@
 
     /// The watched descriptor.
     pub fn get(&self) -> &T {
-        &self.0.get_ref().descriptor
+        &self.watched().get_ref().descriptor
     }
 
-    /// Ends the watch.
-    pub fn into_inner(self) -> T {
-        self.0.into_inner().descriptor
+    #[expect(clippy::expect_used, reason = "only the drop takes it")]
+    fn watched(&self) -> &AsyncFd<Owner<T>> {
+        self.watched.as_ref().expect("a watched descriptor")
     }
 
     /// Waits until the descriptor is readable, and calls `read`, which fails with `WouldBlock` if it
@@ -100,12 +116,12 @@
 
     /// Polls until the descriptor may be readable.
     pub fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.poll_read_ready(cx).map_ok(drop)
+        self.watched().poll_read_ready(cx).map_ok(drop)
     }
 
     /// Polls until the descriptor may be writable.
     pub fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.poll_write_ready(cx).map_ok(drop)
+        self.watched().poll_write_ready(cx).map_ok(drop)
     }
 
     /// Makes a call if the descriptor may be ready for it. If the call fails with `WouldBlock`, the
@@ -115,15 +131,15 @@
         interest: Interest,
         mut call: impl FnMut(&T) -> io::Result<R>,
     ) -> io::Result<R> {
-        self.0.try_io(interest, |owner| {
+        self.watched().try_io(interest, |owner| {
             retry_interrupted(|| call(&owner.descriptor))
         })
     }
 
     /// Whether the loop has learned that nothing more can be read.
     pub fn is_read_closed(&self) -> bool {
-        let readiness =
-            pin!(self.0.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        let readiness = pin!(self.watched().ready(Interest::READABLE))
+            .poll(&mut Context::from_waker(Waker::noop()));
         matches!(readiness, Poll::Ready(Ok(guard)) if guard.ready().is_read_closed())
     }
 }
--- a/balancer/tests/failing_calls/rows.rs
+++ b/balancer/tests/failing_calls/rows.rs
@@ -87,14 +87,9 @@
     row("event read EIO 1/3", &[Fault::FailedEventRead], one_in(3)),
     row("epoll_wait EINTR 1/2", &[Fault::InterruptedWait], one_in(2)),
     row("all interrupted 1/3", INTERRUPTIONS, one_in(3)),
-    Row {
-        breaks_upstream_connections: true,
-        ..row("epoll_ctl ADD 1/7", &[Fault::EpollAdd], one_in(7))
-    },
-    Row {
-        breaks_upstream_connections: true,
-        ..row("epoll_ctl ADD first 5", &[Fault::EpollAdd], first_calls(5))
-    },
+    row("epoll_ctl ADD 1/7", &[Fault::EpollAdd], one_in(7)),
+    row("epoll_ctl ADD 1/2", &[Fault::EpollAdd], one_in(2)),
+    row("epoll_ctl ADD first 5", &[Fault::EpollAdd], first_calls(5)),
     row("epoll_ctl MOD, DEL 1/2", &[Fault::EpollModify], one_in(2)),
     row("epoll_create1 1/2", &[Fault::EpollCreation], one_in(2)),
     row("eventfd 1/2", &[Fault::EventfdCreation], one_in(2)),
