Drop log lines that a full pipe has no space for, instead of blocking the loop

Cause: `write` blocks the only thread.

Change: the line is written only if `poll` says that the descriptor takes 4 KiB.

--- a/balancer/src/telemetry/log.rs
+++ b/balancer/src/telemetry/log.rs
@@ -1,12 +1,16 @@
 //! Plain log lines, and structured events that report what happened to each request.
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::fmt::Arguments;
 use std::io::{self, Write};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::str::FromStr;
 use thiserror::Error;
 use tracing::Level;
 
 /// The environment variable that turns structured events on.
 const LEVEL_VARIABLE: &str = "NODE_LOG";
+/// A pipe that is writable has space for this many bytes.
+const PIPE_SPACE: usize = 4096;
 
 /// Writes one line to standard error, with the arguments of [`format!`].
 macro_rules! log_line {
@@ -21,7 +25,31 @@
 pub(crate) fn write_line(line: Arguments<'_>) {
     // One write for the whole line, so that lines of several processes do not mix.
     let line = format!("{line}\n");
-    let _ = io::stderr().write_all(line.as_bytes());
+    let _ = LogWriter.write_all(line.as_bytes());
+}
+
+/// Writes to standard error without blocking: what a pipe that nobody reads has no space for is lost.
+struct LogWriter;
+
+impl Write for LogWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !is_writable(io::stderr().as_fd()) {
+            return Ok(bytes.len());
+        }
+        let chunk = &bytes[..bytes.len().min(PIPE_SPACE)];
+        io::stderr().write(chunk)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whether a write of [`PIPE_SPACE`] does not block. Where the system cannot tell, it is tried.
+fn is_writable(descriptor: BorrowedFd<'_>) -> bool {
+    let mut polled = [PollFd::new(descriptor, PollFlags::POLLOUT)];
+    let is_ready = poll(&mut polled, PollTimeout::ZERO).map(|ready| ready > 0);
+    is_ready.unwrap_or(true)
 }
 
 /// Where a balancer's plain log lines go.
@@ -69,7 +97,7 @@
             let subscriber = tracing_subscriber::fmt()
                 .json()
                 .with_max_level(level)
-                .with_writer(io::stderr)
+                .with_writer(|| LogWriter)
                 // An event that cannot be written is lost; reporting that would panic.
                 .log_internal_errors(false)
                 .finish();
