Let a process that waits for its list or for the disk follow what happens beside it

Callers: clients were refused for 7.5 s where the old process drained without a successor while the new one waited for its list; a process whose folder was missing waited 8 s and gave half of its descriptors up; one that got SIGTERM while it waited exited 10 s later; one with a change held up on the disk did not shut down until it was killed.

Causes: the wait ended only with the old process; a lock that could not be asked for counted as held by another; signals were awaited after the start only; all work on the disk shared one thread, and the shutdown waited for it.

Change: a process that drains without a successor releases the process lock; `try_lock_process` tells "held" from "cannot be asked", which is tried again for 1 s and then counts as alone; the start ends at a signal while it waits; each job has a thread, and the shutdown asks for a successor for 300 ms at most.

--- a/balancer/src/admin/disk_worker.rs
+++ b/balancer/src/admin/disk_worker.rs
@@ -1,12 +1,11 @@
-//! Runs work that may block on the disk on a thread of its own.
+//! Runs work that may block on the disk on threads of its own.
 //!
 //! The loop learns of the end of a job by the end of a pipe that the job holds open: closing it
 //! cannot fail in a way that would lose the event.
 use crate::net::retry_io::retry_io;
 use crate::net::watched_descriptor::WatchedDescriptor;
-use std::cell::RefCell;
 use std::io::{self, PipeReader, PipeWriter};
-use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, TryRecvError};
+use std::sync::mpsc::{sync_channel, Receiver, TryRecvError};
 use std::thread;
 use std::time::Duration;
 use thiserror::Error;
@@ -26,46 +25,25 @@
     Panicked,
 }
 
-type Job = Box<dyn FnOnce() + Send>;
-
-/// A thread that runs jobs one after the other. It starts with the first job.
-#[derive(Default)]
-pub struct DiskWorker {
-    jobs: RefCell<Option<Sender<Job>>>,
-}
-
-impl DiskWorker {
-    /// Runs one job, and waits for its result without blocking the loop.
-    pub async fn run<T: Send + 'static>(
-        &self,
-        work: impl FnOnce() -> T + Send + 'static,
-    ) -> Result<T, DiskWorkerError> {
-        let (ended, running) = retry_io(START_RETRY_LIMIT, open_pipe).await?;
-        let (result_sender, result) = sync_channel(1);
-        let job = move || {
-            // Dropped last, and so after the result was sent, even if the work panics.
-            let _running = running;
-            let result_sender = result_sender;
-            // Fails if nothing waits for the result any more.
-            let _ = result_sender.send(work());
-        };
-        // The thread never ends. If it did, the job would be dropped, and the pipe would end.
-        let _ = self.jobs().await?.send(Box::new(job));
-        ended
-            .read(|_| take_result(&result))
-            .await?
-            .ok_or(DiskWorkerError::Panicked)
-    }
-
-    /// The queue of the thread, which starts if there is none.
-    async fn jobs(&self) -> io::Result<Sender<Job>> {
-        if let Some(jobs) = &*self.jobs.borrow() {
-            return Ok(jobs.clone());
-        }
-        let jobs = retry_io(START_RETRY_LIMIT, start_thread).await?;
-        self.jobs.replace(Some(jobs.clone()));
-        Ok(jobs)
-    }
+/// Runs one job on a thread of its own, and waits for its result without blocking the loop. A job
+/// that the disk holds up delays no other.
+pub async fn run_on_disk_thread<T: Send + 'static>(
+    work: impl FnOnce() -> T + Send + 'static,
+) -> Result<T, DiskWorkerError> {
+    let (ended, running) = retry_io(START_RETRY_LIMIT, open_pipe).await?;
+    let (result_sender, result) = sync_channel(1);
+    let mut job = Some(move || {
+        // Dropped last, and so after the result was sent, even if the work panics.
+        let _running = running;
+        let result_sender = result_sender;
+        // Fails if nothing waits for the result any more.
+        let _ = result_sender.send(work());
+    });
+    retry_io(START_RETRY_LIMIT, || start_thread(&mut job)).await?;
+    ended
+        .read(|_| take_result(&result))
+        .await?
+        .ok_or(DiskWorkerError::Panicked)
 }
 
 /// The loop's end of a pipe, which it watches, and the end that a job holds open.
@@ -74,18 +52,17 @@
     Ok((WatchedDescriptor::new(reader)?, writer))
 }
 
-fn start_thread() -> io::Result<Sender<Job>> {
-    let (sender, jobs) = channel::<Job>();
+/// Starts a thread that takes the job. Without a thread the job stays where it is.
+fn start_thread<J: FnOnce() + Send + 'static>(job: &mut Option<J>) -> io::Result<()> {
+    let (job_sender, next_job) = sync_channel(1);
     thread::Builder::new()
         .name("disk".to_string())
-        .spawn(move || jobs.into_iter().for_each(run_job))?;
-    Ok(sender)
-}
-
-/// A job that panics has no result, and its pipe ends. The thread goes on with the next one.
-fn run_job(job: Job) {
-    // What the job shares is locked, and checks itself after a panic.
-    let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(job));
+        .spawn(move || next_job.into_iter().for_each(|job: J| job()))?;
+    if let Some(job) = job.take() {
+        // The thread waits for it.
+        let _ = job_sender.send(job);
+    }
+    Ok(())
 }
 
 /// The result of a job whose pipe has ended; `None` if it has none. Fails with `WouldBlock` before.
--- a/balancer/src/admin/disk_worker/tests.rs
+++ b/balancer/src/admin/disk_worker/tests.rs
@@ -2,9 +2,8 @@
 use super::*;
 
 #[tokio::test(flavor = "local")]
-async fn returns_results_while_the_loop_goes_on() {
-    let worker = DiskWorker::default();
-    let slow = worker.run(|| {
+async fn returns_results_while_the_loop_and_other_jobs_go_on() {
+    let slow = run_on_disk_thread(|| {
         thread::sleep(Duration::from_millis(50));
         "slow"
     });
@@ -12,17 +11,16 @@
     tokio::select! {
         biased;
         _ = &mut slow => panic!("the job has not ended"),
-        () = tokio::time::sleep(Duration::from_millis(5)) => {}
+        other = run_on_disk_thread(|| 5) => assert_eq!(other.expect("a result"), 5),
     }
     assert_eq!(slow.await.expect("a result"), "slow");
-    assert_eq!(worker.run(|| 7).await.expect("a result"), 7);
+    assert_eq!(run_on_disk_thread(|| 7).await.expect("a result"), 7);
 }
 
-/// Guards against an admin endpoint that never answers again after a job panicked.
+/// Guards against an admin endpoint that waits forever for a job that panicked.
 #[tokio::test(flavor = "local")]
-async fn goes_on_after_a_job_that_panics() {
-    let worker = DiskWorker::default();
-    let failed = worker.run(|| -> u8 { panic!("a job that panics, in a test") });
+async fn reports_a_job_that_panics() {
+    let failed = run_on_disk_thread(|| -> u8 { panic!("a job that panics, in a test") });
     assert!(matches!(failed.await, Err(DiskWorkerError::Panicked)));
-    assert_eq!(worker.run(|| 7).await.expect("a result"), 7);
+    assert_eq!(run_on_disk_thread(|| 7).await.expect("a result"), 7);
 }
--- a/balancer/src/admin/override_store.rs
+++ b/balancer/src/admin/override_store.rs
@@ -84,16 +84,17 @@
         Ok(overrides)
     }
 
-    /// Takes the lock of this balancer's only process; `None` while another process has it.
-    pub fn try_lock_process(&self) -> Option<ProcessLock> {
+    /// Takes the lock of this balancer's only process; `None` while another process has it. Fails
+    /// if the system cannot tell.
+    pub fn try_lock_process(&self) -> io::Result<Option<ProcessLock>> {
         let Some(folder) = &self.folder else {
-            return Some(ProcessLock { _file: None });
+            return Ok(Some(ProcessLock { _file: None }));
         };
-        let file = File::create(folder.join(PROCESS_LOCK_FILE)).ok()?;
+        let file = File::create(folder.join(PROCESS_LOCK_FILE))?;
         match file.try_lock() {
-            Err(TryLockError::WouldBlock) => None,
+            Err(TryLockError::WouldBlock) => Ok(None),
             // Where files cannot be locked, another process cannot be detected.
-            Ok(()) | Err(TryLockError::Error(_)) => Some(ProcessLock { _file: Some(file) }),
+            Ok(()) | Err(TryLockError::Error(_)) => Ok(Some(ProcessLock { _file: Some(file) })),
         }
     }
 }
--- a/balancer/src/admin/override_store/tests.rs
+++ b/balancer/src/admin/override_store/tests.rs
@@ -95,9 +95,18 @@
     let folder = empty_folder("alone");
     let first = OverrideStore::new(Some(folder.clone()));
     let second = OverrideStore::new(Some(folder.clone()));
-    let lock = first.try_lock_process();
-    assert!(lock.is_some() && second.try_lock_process().is_none());
+    let try_lock = |store: &OverrideStore| store.try_lock_process().expect("a folder");
+    let lock = try_lock(&first);
+    assert!(lock.is_some() && try_lock(&second).is_none());
     drop(lock);
-    assert!(second.try_lock_process().is_some());
+    assert!(try_lock(&second).is_some());
     std::fs::remove_dir_all(folder).expect("removes");
 }
+
+/// Guards against taking a folder that cannot be written for another process that serves.
+#[test]
+fn distinguishes_a_lock_that_another_process_holds_from_one_that_cannot_be_asked_for() {
+    let missing = std::env::temp_dir().join("balancer-no-such-folder");
+    let store = OverrideStore::new(Some(missing));
+    assert!(store.try_lock_process().is_err());
+}
--- a/balancer/src/admin/override_sync.rs
+++ b/balancer/src/admin/override_sync.rs
@@ -1,5 +1,5 @@
 //! Puts the stored overrides in force, whichever process of this balancer they were set at.
-use crate::admin::disk_worker::{DiskWorker, DiskWorkerError};
+use crate::admin::disk_worker::{run_on_disk_thread, DiskWorkerError};
 use crate::admin::override_error::{OverrideError, OverrideReadError};
 use crate::admin::override_store::{OverrideStore, ProcessLock};
 use crate::admin::overrides::Overrides;
@@ -7,6 +7,7 @@
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use tokio::sync::watch;
 
@@ -15,7 +16,6 @@
     driver: DriverHandle,
     phase: Rc<watch::Sender<Phase>>,
     store: OverrideStore,
-    worker: DiskWorker,
     /// The overrides in force.
     applied: RefCell<Overrides>,
     /// Whether the last read failed. An error is logged only once.
@@ -33,7 +33,6 @@
             driver,
             phase,
             store,
-            worker: DiskWorker::default(),
             applied: RefCell::default(),
             last_read_failed: Cell::new(false),
         })
@@ -81,10 +80,12 @@
         Ok(())
     }
 
-    /// Takes the lock of this balancer's only process; `None` while another process has it.
-    pub async fn try_lock_process(&self) -> Option<ProcessLock> {
-        let lock = self.on_disk(|store| store.try_lock_process()).await;
-        lock.ok().flatten()
+    /// Takes the lock of this balancer's only process; `None` while another process has it. Fails if
+    /// the system cannot tell, perhaps only for a moment.
+    pub async fn try_lock_process(&self) -> io::Result<Option<ProcessLock>> {
+        self.on_disk(|store| store.try_lock_process())
+            .await
+            .map_err(io::Error::other)?
     }
 
     /// Runs work that may block on the disk.
@@ -93,7 +94,7 @@
         work: impl FnOnce(OverrideStore) -> T + Send + 'static,
     ) -> Result<T, DiskWorkerError> {
         let store = self.store.clone();
-        self.worker.run(move || work(store)).await
+        run_on_disk_thread(move || work(store)).await
     }
 
     fn apply(&self, overrides: Overrides) {
--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -8,6 +8,7 @@
 use crate::telemetry::log::log_line;
 use crate::time::{sleep, timeout};
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -15,6 +16,8 @@
 
 /// How often the store is read. It is much shorter than the grace period of a suspension.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a process that shuts down waits to read whether it has a successor.
+const SUCCESSOR_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a process that starts waits until the system can read the overrides.
 const OVERRIDE_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a process that starts beside another one waits for its first endpoint list if lists are pushed: its agent
@@ -39,6 +42,8 @@
     process_lock: RefCell<Option<ProcessLock>>,
     /// Whether half of the descriptors was left to a successor.
     has_yielded: Cell<bool>,
+    /// Until this process drains.
+    accepts_clients: Cell<bool>,
 }
 
 impl ProcessCoordinator {
@@ -59,6 +64,7 @@
             process_number: Cell::new(0),
             process_lock: RefCell::default(),
             has_yielded: Cell::new(false),
+            accepts_clients: Cell::new(true),
         })
     }
 
@@ -69,7 +75,7 @@
         while !self.overrides.refresh().await && Instant::now() < deadline {
             sleep(REFRESH_INTERVAL).await;
         }
-        if self.try_lock_process().await {
+        if !self.is_beside_another_process(deadline).await {
             return;
         }
         log_line!("another process of this balancer serves");
@@ -78,13 +84,28 @@
         let _ = timeout(self.endpoint_list_timeout, self.endpoints_or_lock()).await;
     }
 
+    /// Takes the process lock, or finds that another process has it. Where the system cannot tell until `deadline`,
+    /// another process cannot be detected, and this one starts as if it was alone.
+    async fn is_beside_another_process(&self, deadline: Instant) -> bool {
+        loop {
+            match self.try_lock_process().await {
+                Ok(has_lock) => return !has_lock,
+                Err(error) if Instant::now() >= deadline => {
+                    log_line!("the process lock: {error}: other processes are not detected");
+                    return false;
+                }
+                Err(_) => sleep(REFRESH_INTERVAL).await,
+            }
+        }
+    }
+
     /// Waits until discovery has confirmed or updated the endpoint list, or no other process serves any more.
     async fn endpoints_or_lock(&self) {
         while timeout(REFRESH_INTERVAL, self.driver.endpoints_notified())
             .await
             .is_err()
         {
-            if self.try_lock_process().await {
+            if matches!(self.try_lock_process().await, Ok(true)) {
                 self.sockets.reclaim();
                 return;
             }
@@ -105,9 +126,10 @@
         tokio::task::spawn_local(self.clone().follow_other_processes());
     }
 
-    /// Whether another process of this balancer has started to serve after this one.
+    /// Whether another process of this balancer has started to serve after this one. A disk that is held up delays the
+    /// answer for a moment only.
     pub async fn succeeded(&self) -> bool {
-        self.overrides.refresh().await;
+        let _ = timeout(SUCCESSOR_CHECK_TIMEOUT, self.overrides.refresh()).await;
         self.has_successor()
     }
 
@@ -139,7 +161,8 @@
                 let _ = self.register().await;
             }
             let holds_process_lock = self.process_lock.borrow().is_some();
-            if !holds_process_lock && self.try_lock_process().await {
+            let may_lock = !holds_process_lock && self.accepts_clients.get();
+            if may_lock && matches!(self.try_lock_process().await, Ok(true)) {
                 self.sockets.reclaim();
             }
             if !self.has_yielded.get() && self.has_successor() {
@@ -150,12 +173,19 @@
         }
     }
 
-    /// Takes the process lock unless another process has it.
-    async fn try_lock_process(&self) -> bool {
-        let Some(lock) = self.overrides.try_lock_process().await else {
-            return false;
-        };
-        *self.process_lock.borrow_mut() = Some(lock);
-        true
+    /// Takes the process lock unless another process has it, and returns whether it did. Fails if the system cannot
+    /// tell.
+    async fn try_lock_process(&self) -> io::Result<bool> {
+        let lock = self.overrides.try_lock_process().await?;
+        let lock = lock.filter(|_| self.accepts_clients.get());
+        let has_lock = lock.is_some();
+        *self.process_lock.borrow_mut() = lock;
+        Ok(has_lock)
+    }
+
+    /// This process accepts no more clients and has no successor: one that starts now serves without waiting for it.
+    pub fn release_process_lock(&self) {
+        self.accepts_clients.set(false);
+        self.process_lock.take();
     }
 }
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -107,7 +107,10 @@
 
 async fn run() -> Result<(), ProgramError> {
     let Signals { reload, shutdown } = Signals::open(STARTUP_RETRY_LIMIT).await?;
-    let mut process = ServingProcess::start(reload).await?;
+    // Nothing is owed before this process listens.
+    let Some(mut process) = ServingProcess::start(reload, &shutdown).await? else {
+        return Ok(());
+    };
     tokio::select! {
         () = shutdown.received() => {}
         // Without timers no request would end. A process that exits is noticed at once.
@@ -119,7 +122,11 @@
 
 impl ServingProcess {
     /// Starts all parts of the process. Each `reload` signal reloads the configuration.
-    async fn start(reload: SignalStream) -> Result<ServingProcess, ProgramError> {
+    /// `None` if `shutdown` arrives while this process waits beside another one.
+    async fn start(
+        reload: SignalStream,
+        shutdown: &SignalStream,
+    ) -> Result<Option<ServingProcess>, ProgramError> {
         let clock = Clock::start();
         let config = load_config(STARTUP_RETRY_LIMIT).await?;
         start_events(&config.name);
@@ -135,7 +142,13 @@
         let reloads = follow_reloads(reload, discovery_address, parts.metrics.clone());
         tokio::task::spawn_local(reloads);
         tokio::task::spawn_local(discovery.run(handle.clone()));
-        let coordinator = start_admin(&config, admin_listener, &handle, &parts).await?;
+        let coordinator = start_admin(&config, admin_listener, &handle, &parts)?;
+        if let Some(coordinator) = &coordinator {
+            tokio::select! {
+                () = coordinator.prepare() => {}
+                () = shutdown.received() => return Ok(None),
+            }
+        }
         let shares_address = coordinator.is_some();
         let (server, address) = start_server(&config, shares_address, &handle, &parts).await?;
         match &coordinator {
@@ -143,14 +156,14 @@
             None => drop(parts.phase.send_replace(Phase::Serving)),
         }
         log_line!("{}: serving on {address}", config.name);
-        Ok(ServingProcess {
+        Ok(Some(ServingProcess {
             config,
             parts,
             handle,
             timers,
             server,
             coordinator,
-        })
+        }))
     }
 
     /// Shuts down: serves the clients to the end, for as long as the schedule allows.
@@ -234,8 +247,8 @@
     }
 }
 
-/// Starts the admin server, if there is a listener for it, and prepares this process for serving beside others.
-async fn start_admin(
+/// Starts the admin server, if there is a listener for it.
+fn start_admin(
     config: &Config,
     listener: Option<Listener>,
     handle: &DriverHandle,
@@ -266,7 +279,6 @@
         overrides,
         endpoint_list_timeout(&config.deployment),
     );
-    coordinator.prepare().await;
     Ok(Some(coordinator))
 }
 
--- a/balancer/src/process/shutdown.rs
+++ b/balancer/src/process/shutdown.rs
@@ -48,6 +48,9 @@
         for (after, next_phase) in steps {
             sleep_until(self.requested_at + after).await;
             phase.send_replace(next_phase);
+            if let (Phase::Draining, Some(coordinator)) = (next_phase, coordinator) {
+                coordinator.release_process_lock();
+            }
         }
     }
 
