--- a/balancer/tests/failing_calls/failure.rs
+++ b/balancer/tests/failing_calls/failure.rs
@@ -23,4 +23,6 @@
     ReloadNotApplied(u64),
     /// The process reported that it broke an invariant.
     Violation(String),
+    /// Something panicked, even if the process went on: a second panic while the first one unwinds ends it.
+    Panic(String),
 }
--- a/balancer/tests/failing_calls/plays.rs
+++ b/balancer/tests/failing_calls/plays.rs
@@ -17,6 +17,8 @@
 const RELOAD_COUNT: u64 = 5;
 /// Lines of the log that report a broken invariant contain this.
 const VIOLATION_TEXT: &str = "invariant violated";
+/// Lines of the log that report a panic contain this.
+const PANIC_TEXT: &str = "panicked at";
 
 /// When the faults are set, and what happens then.
 #[derive(Clone, Copy, Debug)]
@@ -186,9 +188,14 @@
 
     fn collect_log(&mut self, balancer: PreloadedBalancer) {
         let log = balancer.into_log();
-        let violations = log.iter().filter(|line| line.contains(VIOLATION_TEXT));
-        self.failures
-            .extend(violations.map(|line| Failure::Violation(line.clone())));
+        for line in &log {
+            if line.contains(VIOLATION_TEXT) {
+                self.failures.push(Failure::Violation(line.clone()));
+            }
+            if line.contains(PANIC_TEXT) {
+                self.failures.push(Failure::Panic(line.clone()));
+            }
+        }
         self.log.extend(log);
     }
 }
