--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -1,7 +1,9 @@
 //! The balancer as a process: start-up and wiring.
 use crate::admin::override_store::OverrideStore;
 use crate::admin::override_sync::OverrideSync;
-use crate::admin::process_coordinator::ProcessCoordinator;
+use crate::admin::process_coordinator::{
+    ProcessCoordinator, POLLED_LIST_TIMEOUT, PUSHED_LIST_TIMEOUT,
+};
 use crate::admin::server::{self, AdminOptions, AdminServer};
 use crate::clock::{from_millis, Clock};
 use crate::control::control_plane::{ControlPlane, ControlPlaneOptions};
@@ -30,6 +32,7 @@
 use balancer_core::{Millis, SettingsError};
 use balancer_settings::Deployment;
 use std::io;
+use std::mem::ManuallyDrop;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -56,9 +59,11 @@
 fn run_on_one_thread() -> Result<(), ProgramError> {
     // Before anything else: a signal that is not blocked ends the process.
     Signals::block()?;
-    start_runtime(STARTUP_RETRY_LIMIT)
-        .map_err(ProgramError::Runtime)?
-        .block_on(run())
+    // Never dropped: the tasks that a runtime drops wake each other from outside its loop, by the
+    // write that ends the process if it fails. The system closes what they hold.
+    let runtime =
+        ManuallyDrop::new(start_runtime(STARTUP_RETRY_LIMIT).map_err(ProgramError::Runtime)?);
+    runtime.block_on(run())
 }
 
 /// What several parts of the process share.
@@ -259,11 +264,20 @@
         parts.sockets.clone(),
         parts.phase.clone(),
         overrides,
+        endpoint_list_timeout(&config.deployment),
     );
     coordinator.prepare().await;
     Ok(Some(coordinator))
 }
 
+fn endpoint_list_timeout(deployment: &Deployment) -> Duration {
+    if deployment.policy.poll_endpoints {
+        POLLED_LIST_TIMEOUT
+    } else {
+        PUSHED_LIST_TIMEOUT
+    }
+}
+
 /// The folder that all processes of this balancer share, if there is one.
 fn override_folder() -> Option<PathBuf> {
     std::env::var_os("TMPDIR")
