Play calls on own descriptors that fail in the soak's smoke test

Cause: the faults of a balancer's own descriptors were played by hand only, and the runs of `cargo test` drew none of them.

Change: one more short run, with these four kinds alone.

--- a/soak/tests/smoke.rs
+++ b/soak/tests/smoke.rs
@@ -69,6 +69,12 @@
     assert_run_passes(&["--seed", "32", "--mode", "ask", "--only", faults]);
 }
 
+#[test]
+fn serves_while_calls_on_own_descriptors_fail() {
+    let faults = "eventdescriptors,registrations,failinglog,failingstart";
+    assert_run_passes(&["--seed", "33", "--mode", "push", "--only", faults]);
+}
+
 #[test]
 fn rejects_an_unknown_fault() {
     let output = run_soak(&["--only", "sunshine"]);
