Count the connections opened to upstreams, and those open now

Each connection is now counted when it is open and until its task ends (node_upstream_connections_opened, node_upstream_connections_open).

--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -177,7 +177,9 @@
             .map_err(|_| AttemptOutcome::ConnectFailed)?;
         let surplus_reporter = SurplusReporter::new(upstream, self.counts.clone());
         let reporter = surplus_reporter.clone();
+        let open_count = self.counts.record_connection_opened();
         let task = tokio::task::spawn_local(async move {
+            let _open_count = open_count;
             // The attempt on the connection sees how it ends, unless it is idle.
             if let Err(error) = connection.await {
                 reporter.report_if_cause(&error);
--- a/balancer/src/telemetry/metrics.rs
+++ b/balancer/src/telemetry/metrics.rs
@@ -166,6 +166,7 @@
             }
         }
         write_metric(&mut text, "tries", self.upstreams.requests_written().get());
+        self.render_upstream_connections(&mut text);
         write_metric(&mut text, "active", gauges.active_requests as u64);
         write_metric(&mut text, "pool_size", gauges.endpoints.listed as u64);
         write_metric(&mut text, "pool_ejected", gauges.endpoints.avoided as u64);
@@ -193,6 +194,13 @@
         }
         text
     }
+
+    fn render_upstream_connections(&self, text: &mut String) {
+        let opened = self.upstreams.connections_opened();
+        write_metric(text, "upstream_connections_opened", opened);
+        let open = self.upstreams.open_connections() as u64;
+        write_metric(text, "upstream_connections_open", open);
+    }
 }
 
 /// A request that the driver has accepted. Its outcome is counted when this is dropped; without an
--- a/balancer/src/telemetry/metrics/tests.rs
+++ b/balancer/src/telemetry/metrics/tests.rs
@@ -10,7 +10,7 @@
     single_use_upstreams: 3,
 };
 
-const EXPECTED: [&str; 29] = [
+const EXPECTED: [&str; 31] = [
     "node_ok{kind=\"read\"} 0",
     "node_ok{kind=\"odd \\\"\\\\\\n\"} 0",
     "node_shed{kind=\"read\"} 0",
@@ -18,6 +18,8 @@
     "node_errors{kind=\"read\"} 1",
     "node_errors{kind=\"odd \\\"\\\\\\n\"} 0",
     "node_tries 7",
+    "node_upstream_connections_opened 2",
+    "node_upstream_connections_open 1",
     "node_active 2",
     "node_pool_size 4",
     "node_pool_ejected 1",
@@ -60,6 +62,8 @@
     metrics.record_completed(1, RequestOutcome::Rejected);
     metrics.upstreams().requests_written().set(7);
     metrics.upstreams().record_surplus();
+    let _open = metrics.upstreams().record_connection_opened();
+    drop(metrics.upstreams().record_connection_opened());
     metrics.record_reload(false);
     metrics.record_connection_closed(CloseReason::TimedOut);
     assert_eq!(
--- a/balancer/tests/operators.rs
+++ b/balancer/tests/operators.rs
@@ -174,6 +174,26 @@
     }
 }
 
+/// Guards against paying for a connection per request unseen.
+#[test]
+fn metrics_count_the_connections_opened_to_upstreams_and_those_open_now() {
+    let upstream = StubUpstream::start(|request| match request.header("req-id") {
+        Some("bad") => Reply::Respond("noise\r\n\r\n".into()),
+        _ => ok_response(""),
+    });
+    let node = BalancerProcess::with_admin(&[upstream.address]);
+    assert_eq!(metric(&node, "node_upstream_connections_opened"), 0);
+    let mut client = node.client();
+    for id in ["1", "2"] {
+        assert_eq!(client.call(&get_request(id, "9000m")).status(), 200);
+    }
+    node.wait_for_metric("node_upstream_connections_opened 1");
+    node.wait_for_metric("node_upstream_connections_open 1");
+    assert_eq!(client.call(&payment_request("bad", "9000m")).status(), 502);
+    node.wait_for_metric("node_upstream_connections_open 0");
+    assert_eq!(metric(&node, "node_upstream_connections_opened"), 1);
+}
+
 /// The endpoint list reports the upstream as active throughout. Connections to it close, and later lists do not restore
 /// it.
 #[test]
