Break the circle of imports between connection pool and surplus reporter

The pool's connections hold a reporter, and the reporter named the pool's Upstream. It now updates a SurplusRecord, which Upstream implements. Nothing else changes.

--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -2,7 +2,8 @@
 use crate::body::request_body::AttemptBody;
 use crate::net::shared_stream::{SharedStream, UnreadState};
 use crate::outbound::surplus_history::SurplusHistory;
-use crate::outbound::surplus_reporter::SurplusReporter;
+use crate::outbound::surplus_reporter::{SurplusRecord, SurplusReporter};
+use crate::telemetry::upstream_counts::UpstreamCounts;
 use hyper::client::conn::http1;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -210,13 +211,6 @@
         &self.surplus
     }
 
-    /// Surplus data was detected on one of its connections: none of the idle ones is used again.
-    /// Returns the period for which connections carry one request each, if it begins now.
-    pub fn record_surplus(&self, now: Instant) -> Option<Duration> {
-        self.close_idle();
-        self.surplus.record(now)
-    }
-
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
@@ -327,4 +321,22 @@
     pub async fn idle_connection_added(&self) {
         self.idle_added.notified().await;
     }
+
+    /// A reporter of surplus data for one connection to it.
+    pub fn surplus_reporter(self: &Rc<Self>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+        let record: Rc<dyn SurplusRecord> = self.clone();
+        SurplusReporter::new(Rc::downgrade(&record), counts)
+    }
+}
+
+impl SurplusRecord for Upstream {
+    fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// None of the idle connections is used again.
+    fn record_surplus(&self, now: Instant) -> Option<Duration> {
+        self.close_idle();
+        self.surplus.record(now)
+    }
 }
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -2,7 +2,6 @@
 use crate::net::descriptor_budget::{is_resource_shortage, DescriptorBudget};
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use crate::outbound::connection_pool::{Connection, PooledConnection, Upstream};
-use crate::outbound::surplus_reporter::SurplusReporter;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use balancer_core::AttemptOutcome;
 use hyper::client::conn::http1;
@@ -175,7 +174,7 @@
             .handshake(TokioIo::new(socket.clone()))
             .await
             .map_err(|_| AttemptOutcome::ConnectFailed)?;
-        let surplus_reporter = SurplusReporter::new(upstream, self.counts.clone());
+        let surplus_reporter = upstream.surplus_reporter(self.counts.clone());
         let reporter = surplus_reporter.clone();
         let open_count = self.counts.record_connection_opened();
         let task = tokio::task::spawn_local(async move {
--- a/balancer/src/outbound/surplus_reporter.rs
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -1,37 +1,45 @@
 //! Reports surplus data on a connection to its upstream, the metrics and the log.
-use crate::outbound::connection_pool::Upstream;
 use crate::telemetry::log::LogOutput;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// Remembers the surplus data of one upstream.
+pub trait SurplusRecord {
+    /// Where the upstream listens.
+    fn address(&self) -> SocketAddr;
+
+    /// Records that surplus data was detected. Returns the period for which connections carry one
+    /// request each, if it begins now.
+    fn record_surplus(&self, now: Instant) -> Option<Duration>;
+}
+
 /// Reports surplus data of one upstream.
 #[derive(Clone)]
 pub struct SurplusReporter {
-    upstream: Weak<Upstream>,
+    record: Weak<dyn SurplusRecord>,
     counts: Rc<UpstreamCounts>,
 }
 
 impl SurplusReporter {
-    /// A reporter for one connection to `upstream`.
-    pub fn new(upstream: &Rc<Upstream>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
-        SurplusReporter {
-            upstream: Rc::downgrade(upstream),
-            counts,
-        }
+    /// A reporter for one connection. It updates the upstream's `record` while that exists.
+    pub fn new(record: Weak<dyn SurplusRecord>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+        SurplusReporter { record, counts }
     }
 
     /// Surplus data was detected on the connection. Its idle connections are closed, and requests
     /// in flight on connections that were used before are not answered from them.
     pub fn report(&self) {
-        let Some(upstream) = self.upstream.upgrade() else {
+        let Some(record) = self.record.upgrade() else {
             return;
         };
         self.counts.record_surplus();
-        let address = upstream.address();
+        let address = record.address();
         tracing::debug!(upstream = %address, "surplus data detected");
-        if let Some(period) = upstream.record_surplus(Instant::now()) {
+        if let Some(period) = record.record_surplus(Instant::now()) {
             LogOutput::StandardError.write_line(&format!(
                 "upstream {address}: data beyond its responses: one request per connection for {} s",
                 period.as_secs()
