Rest long after surplus data instead of using each connection once

A connection now rests 1.5 s between a response and the next request, until an hour has passed without surplus data (longer after relapses). A copy that is up to a second late shows within that time and closes its connection only. Single use is left to data that no copy explains (after an earlier reuse, or more than 1.25 s late): 2 s, doubled by each relapse, halved by each connection that was observed without a copy. The log line and node_single_use_upstreams report 60 s and more, as before.

--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -1,7 +1,8 @@
 //! One upstream and its pool of idle connections.
 use crate::body::request_body::AttemptBody;
 use crate::net::shared_stream::{SharedStream, UnreadState};
-use crate::outbound::surplus_history::SurplusHistory;
+use crate::outbound::connection_use::ConnectionUse;
+use crate::outbound::surplus_history::{SurplusEvidence, SurplusHistory, LONG_REST};
 use crate::outbound::surplus_reporter::{SurplusRecord, SurplusReporter};
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use hyper::client::conn::http1;
@@ -18,7 +19,7 @@
 const PREFERRED_IDLE_TIME: Duration = Duration::from_secs(1);
 /// How long a connection that may not be used again stays open, to observe whether surplus data
 /// still follows the upstream's responses.
-const OBSERVATION_TIME: Duration = Duration::from_secs(1);
+const OBSERVATION_TIME: Duration = LONG_REST;
 
 /// One open connection; closed when dropped.
 pub struct Connection {
@@ -28,8 +29,6 @@
     pub socket: SharedStream,
     /// The upstream's generation for which it was opened.
     generation: u64,
-    /// Whether it has carried a request.
-    has_carried_request: bool,
     /// Its task, which reads and writes.
     task: AbortHandle,
     surplus_reporter: SurplusReporter,
@@ -64,7 +63,6 @@
             sender,
             socket,
             generation,
-            has_carried_request: false,
             task,
             surplus_reporter,
             open_connections,
@@ -72,9 +70,9 @@
         }
     }
 
-    /// Whether it has carried a request.
-    pub fn has_carried_request(&self) -> bool {
-        self.has_carried_request
+    /// What it has carried.
+    pub fn connection_use(&self) -> &ConnectionUse {
+        self.surplus_reporter.connection_use()
     }
 
     /// Reports surplus data of its upstream.
@@ -109,7 +107,7 @@
         if self.is_observed_only {
             return None;
         }
-        let delay = if self.connection.has_carried_request {
+        let delay = if self.connection.connection_use().has_carried_request() {
             reuse_delay
         } else {
             Duration::ZERO
@@ -125,6 +123,13 @@
         };
         now - self.idle_since >= limit
     }
+
+    /// Whether it was observed to the end without surplus data.
+    fn is_observed_clean(&self, now: Instant) -> bool {
+        self.is_observed_only
+            && now - self.idle_since >= OBSERVATION_TIME
+            && self.connection.socket.unread_state() == UnreadState::Nothing
+    }
 }
 
 /// What the pool has for an attempt.
@@ -220,6 +225,9 @@
     /// closed.
     pub fn close_expired(&self, now: Instant, idle_limit: Duration) {
         self.idle.borrow_mut().retain(|idle| {
+            if idle.is_observed_clean(now) {
+                self.surplus.record_clean_observation(now);
+            }
             !idle.connection.sender.is_closed() && !idle.is_expired(now, idle_limit)
         });
     }
@@ -240,18 +248,16 @@
     /// Takes a connection that is ready and has been idle for less than `idle_limit`.
     pub fn take_idle(&self, idle_limit: Duration) -> PooledConnection {
         let now = Instant::now();
-        self.idle
-            .borrow_mut()
-            .retain(|idle| !idle.is_expired(now, idle_limit));
+        self.close_expired(now, idle_limit);
         while let Some(connection) = self.remove_best_idle(now) {
             if connection.check_reusable() {
-                if connection.has_carried_request {
+                if connection.connection_use().has_carried_request() {
                     self.surplus.record_reuse();
                 }
                 return PooledConnection::Ready(connection);
             }
         }
-        let reuse_delay = self.surplus.reuse_delay(self.has_one_connection());
+        let reuse_delay = self.reuse_delay(now);
         self.idle
             .borrow()
             .iter()
@@ -260,6 +266,10 @@
             .map_or(PooledConnection::None, PooledConnection::ReadyAt)
     }
 
+    fn reuse_delay(&self, now: Instant) -> Duration {
+        self.surplus.reuse_delay(self.has_one_connection(), now)
+    }
+
     /// Whether one connection to it is open, idle or in use.
     pub fn has_one_connection(&self) -> bool {
         self.open_connections.get() == 1
@@ -269,7 +279,7 @@
     /// expire, instead of all being kept open in turn. Without one, removes the longest idle
     /// connection that may be used.
     fn remove_best_idle(&self, now: Instant) -> Option<Connection> {
-        let reuse_delay = self.surplus.reuse_delay(self.has_one_connection());
+        let reuse_delay = self.reuse_delay(now);
         let mut idle = self.idle.borrow_mut();
         let is_rested = |idle: &IdleConnection, delay: Duration| {
             idle.reusable_at(delay).is_some_and(|at| at <= now)
@@ -281,12 +291,13 @@
         Some(idle.remove(position).connection)
     }
 
-    /// Returns a connection after a complete response. Where connections carry one request each,
-    /// one of them stays open for observation.
-    pub fn return_after_response(&self, mut connection: Connection) {
+    /// Returns a connection after a complete response. Where connections carry one request each for
+    /// longer than it would rest, one of them stays open for observation.
+    pub fn return_after_response(&self, connection: Connection) {
+        let now = Instant::now();
         connection.socket.acknowledge_received_data();
-        connection.has_carried_request = true;
-        let is_single_use = self.surplus.is_single_use(Instant::now());
+        connection.connection_use().record_response(now);
+        let is_single_use = self.surplus.is_single_use(now + LONG_REST);
         if !(is_single_use && self.is_observing()) {
             self.add_idle(connection, is_single_use);
         }
@@ -334,9 +345,17 @@
         self.address.get()
     }
 
-    /// None of the idle connections is used again.
-    fn record_surplus(&self, now: Instant) -> Option<Duration> {
-        self.close_idle();
-        self.surplus.record(now)
+    /// None of the idle connections is used again, unless a long rest shows whether a copy follows
+    /// on them too.
+    fn record_surplus(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration> {
+        let is_covered =
+            self.surplus.requires_long_rest(now) && evidence == SurplusEvidence::ExpectedCopy;
+        if !is_covered {
+            self.close_idle();
+        }
+        self.surplus.record(evidence, now)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/balancer/src/outbound/connection_pool/tests.rs
@@ -0,0 +1,89 @@
+//! Which idle connections surplus data closes, and when a used one carries its next request.
+use super::*;
+use crate::net::descriptor_budget::DescriptorBudget;
+use crate::outbound::connector::{ConnectionOrigin, Connector};
+use std::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time that a busy machine may take beyond a rest.
+const MARGIN: Duration = Duration::from_millis(50);
+
+/// Opens a connection that is not idle.
+async fn open_connection(upstream: &Rc<Upstream>) -> Connection {
+    let connector = Connector::new(TIMEOUT, TIMEOUT, DescriptorBudget::new(64), Rc::default());
+    let connected = connector.connect(upstream, Instant::now() + TIMEOUT).await;
+    let Ok(mut connected) = connected else {
+        panic!("the connection opens");
+    };
+    assert_eq!(connected.origin, ConnectionOrigin::New);
+    connected.connection.sender.ready().await.expect("is open");
+    connected.connection
+}
+
+fn is_ready(upstream: &Upstream) -> bool {
+    matches!(upstream.take_idle(TIMEOUT), PooledConnection::Ready(_))
+}
+
+/// Whether an idle connection is still there after this evidence was recorded.
+async fn keeps_idle_connection(upstream: &Rc<Upstream>, evidence: SurplusEvidence) -> bool {
+    upstream.add_unused(open_connection(upstream).await);
+    upstream.record_surplus(evidence, Instant::now());
+    is_ready(upstream)
+}
+
+/// Guards against paying for other connections than the one that carries a copy, once all of them
+/// rest long enough to show theirs.
+#[tokio::test]
+async fn an_expected_copy_closes_idle_connections_only_before_long_rests() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let upstream = Upstream::new(listener.local_addr().expect("an address"));
+        let copy = SurplusEvidence::ExpectedCopy;
+        assert!(!keeps_idle_connection(&upstream, copy).await, "the first");
+        assert!(keeps_idle_connection(&upstream, copy).await, "another");
+        let unexplained = SurplusEvidence::Unexplained;
+        assert!(!keeps_idle_connection(&upstream, unexplained).await);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a second wrong response, and against connections that carry one request though
+/// the data is explained.
+#[tokio::test]
+async fn a_used_connection_is_reused_after_a_long_rest_once_there_was_surplus_data() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let upstream = Upstream::new(listener.local_addr().expect("an address"));
+        upstream.record_surplus(SurplusEvidence::ExpectedCopy, Instant::now());
+        let connection = open_connection(&upstream).await;
+        connection.connection_use().record_request(Instant::now());
+        let response_at = Instant::now();
+        upstream.return_after_response(connection);
+        while !is_ready(&upstream) {
+            assert!(response_at.elapsed() < TIMEOUT, "it is not reused");
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(response_at.elapsed() >= LONG_REST);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn connections_carry_one_request_while_surplus_data_is_unexplained() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let upstream = Upstream::new(listener.local_addr().expect("an address"));
+        upstream.record_surplus(SurplusEvidence::Unexplained, Instant::now());
+        for _ in 0..2 {
+            let connection = open_connection(&upstream).await;
+            connection.connection_use().record_request(Instant::now());
+            upstream.return_after_response(connection);
+        }
+        assert_eq!(upstream.idle.borrow().len(), 1, "one is observed");
+        sleep(LONG_REST + MARGIN).await;
+        assert!(!is_ready(&upstream), "it is not reused");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- /dev/null
+++ b/balancer/src/outbound/connection_use.rs
@@ -0,0 +1,61 @@
+//! What one connection to an upstream has carried, and what surplus data on it shows.
+use crate::outbound::surplus_history::{SurplusEvidence, LONG_REST, MAX_EXPECTED_LATENESS};
+use std::cell::Cell;
+use tokio::time::Instant;
+
+/// The requests that one connection has carried.
+#[derive(Default)]
+pub struct ConnectionUse {
+    /// How many requests it was used for.
+    requests: Cell<u32>,
+    /// When its newest response was complete.
+    last_response_at: Cell<Option<Instant>>,
+    /// Whether a request followed a response before [`LONG_REST`] had passed.
+    has_been_reused_early: Cell<bool>,
+}
+
+impl ConnectionUse {
+    /// The connection is used for a request.
+    pub fn record_request(&self, now: Instant) {
+        let follows_early = self
+            .last_response_at
+            .get()
+            .is_some_and(|response_at| now.saturating_duration_since(response_at) < LONG_REST);
+        self.has_been_reused_early
+            .set(self.has_been_reused_early.get() || follows_early);
+        self.requests.set(self.requests.get().saturating_add(1));
+    }
+
+    /// Its newest request has got a complete response.
+    pub fn record_response(&self, now: Instant) {
+        self.last_response_at.set(Some(now));
+    }
+
+    /// Whether it has got a complete response.
+    pub fn has_carried_request(&self) -> bool {
+        self.last_response_at.get().is_some()
+    }
+
+    /// Whether its newest request is not its first.
+    pub fn carries_later_request(&self) -> bool {
+        self.requests.get() > 1
+    }
+
+    /// What surplus data that arrives now shows. On a connection that carried one request it is a
+    /// copy of that request's response. After early reuse it may be the response to a request that
+    /// got an earlier one's. What comes very late would have been taken for a response if the
+    /// connection had been reused.
+    pub fn evidence_of_surplus(&self, now: Instant) -> SurplusEvidence {
+        let is_late = self.last_response_at.get().is_some_and(|response_at| {
+            now.saturating_duration_since(response_at) > MAX_EXPECTED_LATENESS
+        });
+        if is_late || self.has_been_reused_early.get() {
+            SurplusEvidence::Unexplained
+        } else {
+            SurplusEvidence::ExpectedCopy
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/balancer/src/outbound/connection_use/tests.rs
@@ -0,0 +1,68 @@
+//! What surplus data shows, by what its connection has carried.
+use super::*;
+use std::time::Duration;
+
+const MOMENT: Duration = Duration::from_millis(1);
+
+/// A connection that has carried requests, each after such a rest.
+fn used_connection(rests: &[Duration]) -> (ConnectionUse, Instant) {
+    let connection = ConnectionUse::default();
+    let mut now = Instant::now();
+    connection.record_request(now);
+    connection.record_response(now);
+    for rest in rests {
+        now += *rest;
+        connection.record_request(now);
+        connection.record_response(now);
+    }
+    (connection, now)
+}
+
+#[test]
+fn surplus_data_after_one_request_is_a_copy_of_its_response() {
+    let connection = ConnectionUse::default();
+    let now = Instant::now();
+    let expected = SurplusEvidence::ExpectedCopy;
+    assert_eq!(connection.evidence_of_surplus(now), expected, "unused");
+    connection.record_request(now);
+    assert!(!connection.has_carried_request());
+    let at_once = connection.evidence_of_surplus(now + LONG_REST);
+    assert_eq!(at_once, expected, "behind the response");
+    connection.record_response(now);
+    assert!(connection.has_carried_request() && !connection.carries_later_request());
+    for lateness in [Duration::ZERO, MOMENT, MAX_EXPECTED_LATENESS] {
+        let evidence = connection.evidence_of_surplus(now + lateness);
+        assert_eq!(evidence, expected, "{lateness:?}");
+    }
+}
+
+/// Guards against taking the response to a request that got a wrong one for harmless.
+#[test]
+fn surplus_data_after_early_reuse_is_unexplained_for_good() {
+    let early = LONG_REST - MOMENT;
+    for rests in [&[early][..], &[early, LONG_REST], &[LONG_REST, early]] {
+        let (connection, now) = used_connection(rests);
+        assert!(connection.carries_later_request());
+        let evidence = connection.evidence_of_surplus(now);
+        assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
+    }
+}
+
+/// Guards against paying for each copy with a period of single use: no earlier response's copy can
+/// follow that late.
+#[test]
+fn surplus_data_after_long_rests_is_a_copy_of_the_newest_response() {
+    let (connection, now) = used_connection(&[LONG_REST, LONG_REST * 2]);
+    let evidence = connection.evidence_of_surplus(now + MOMENT);
+    assert_eq!(evidence, SurplusEvidence::ExpectedCopy);
+}
+
+/// Guards against relying on a rest that is hardly longer than copies are late.
+#[test]
+fn surplus_data_that_is_nearly_too_late_for_the_rest_is_unexplained() {
+    for rests in [&[][..], &[LONG_REST]] {
+        let (connection, now) = used_connection(rests);
+        let evidence = connection.evidence_of_surplus(now + MAX_EXPECTED_LATENESS + MOMENT);
+        assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
+    }
+}
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -138,7 +138,7 @@
     /// Whether an attempt waits for an idle connection to become reusable rather than open one more.
     fn waits_for_idle(&self, upstream: &Upstream) -> bool {
         let may_wait = upstream.has_one_connection() || !self.sockets.is_plentiful();
-        may_wait && !upstream.surplus().has_detected()
+        may_wait && !upstream.surplus().requires_long_rest(Instant::now())
     }
 
     /// Starts a dial that continues without its attempt: a connection that nothing waits for any
--- a/balancer/src/outbound/endpoint_table.rs
+++ b/balancer/src/outbound/endpoint_table.rs
@@ -167,12 +167,12 @@
         }
     }
 
-    /// How many upstreams have connections that carry one request each.
+    /// How many upstreams have sent surplus data lately.
     pub fn single_use_count(&self) -> usize {
         let now = Instant::now();
         self.by_id
             .values()
-            .filter(|entry| entry.upstream.surplus().is_single_use(now))
+            .filter(|entry| entry.upstream.surplus().is_suspect(now))
             .count()
     }
 
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -2,9 +2,11 @@
 
 pub(crate) mod attempt;
 pub(crate) mod connection_pool;
+mod connection_use;
 pub(crate) mod connector;
 pub(crate) mod dispatch;
 pub(crate) mod endpoint_table;
+mod growing_period;
 pub(crate) mod headers;
 pub(crate) mod message;
 mod response_outcome;
--- a/balancer/src/outbound/reuse_lease.rs
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -1,6 +1,7 @@
 //! Whether a request's connection may still carry its response.
 use crate::outbound::connection_pool::{Connection, Upstream};
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// The use of one connection for one request. It is revoked when the upstream turns out to send
 /// surplus data, if the connection carried an earlier request: its next response may belong to that
@@ -15,9 +16,10 @@
 impl ReuseLease {
     /// The next request's use of this connection to `upstream`.
     pub fn new(upstream: &Rc<Upstream>, connection: &Connection) -> ReuseLease {
+        connection.connection_use().record_request(Instant::now());
         ReuseLease {
             upstream: upstream.clone(),
-            carried_earlier_request: connection.has_carried_request(),
+            carried_earlier_request: connection.connection_use().carries_later_request(),
             known_detections: upstream.surplus().detections(),
         }
     }
--- a/balancer/src/outbound/surplus_reporter.rs
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -1,4 +1,6 @@
 //! Reports surplus data on a connection to its upstream, the metrics and the log.
+use crate::outbound::connection_use::ConnectionUse;
+use crate::outbound::surplus_history::{SurplusEvidence, LONG_REST};
 use crate::telemetry::log::LogOutput;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use std::error::Error;
@@ -12,37 +14,51 @@
     /// Where the upstream listens.
     fn address(&self) -> SocketAddr;
 
-    /// Records that surplus data was detected. Returns the period for which connections carry one
-    /// request each, if it begins now.
-    fn record_surplus(&self, now: Instant) -> Option<Duration>;
+    /// Records that surplus data was detected, and what it shows. Returns the period for which the
+    /// upstream is suspect, if it begins now.
+    fn record_surplus(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration>;
 }
 
-/// Reports surplus data of one upstream.
+/// Reports surplus data on one connection to an upstream.
 #[derive(Clone)]
 pub struct SurplusReporter {
     record: Weak<dyn SurplusRecord>,
+    connection_use: Rc<ConnectionUse>,
     counts: Rc<UpstreamCounts>,
 }
 
 impl SurplusReporter {
     /// A reporter for one connection. It updates the upstream's `record` while that exists.
     pub fn new(record: Weak<dyn SurplusRecord>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
-        SurplusReporter { record, counts }
+        SurplusReporter {
+            record,
+            connection_use: Rc::default(),
+            counts,
+        }
+    }
+
+    /// What the connection has carried.
+    pub fn connection_use(&self) -> &ConnectionUse {
+        &self.connection_use
     }
 
-    /// Surplus data was detected on the connection. Its idle connections are closed, and requests
-    /// in flight on connections that were used before are not answered from them.
+    /// Surplus data was detected on the connection. Requests in flight on connections that were
+    /// used before are not answered from them.
     pub fn report(&self) {
         let Some(record) = self.record.upgrade() else {
             return;
         };
         self.counts.record_surplus();
         let address = record.address();
-        tracing::debug!(upstream = %address, "surplus data detected");
-        if let Some(period) = record.record_surplus(Instant::now()) {
+        let now = Instant::now();
+        let evidence = self.connection_use.evidence_of_surplus(now);
+        tracing::debug!(upstream = %address, ?evidence, "surplus data detected");
+        if let Some(period) = record.record_surplus(evidence, now) {
             LogOutput::StandardError.write_line(&format!(
-                "upstream {address}: data beyond its responses: one request per connection for {} s",
-                period.as_secs()
+                "upstream {address}: data beyond its responses: one request per connection for {} s \
+                 unless it rests {} s",
+                period.as_secs(),
+                LONG_REST.as_secs_f64()
             ));
         }
     }
--- a/balancer/src/telemetry/metrics.rs
+++ b/balancer/src/telemetry/metrics.rs
@@ -80,7 +80,7 @@
     pub active_requests: usize,
     /// Listed and avoided endpoints.
     pub endpoints: EndpointCounts,
-    /// Upstreams whose connections carry one request each.
+    /// Upstreams that have sent surplus data lately.
     pub single_use_upstreams: usize,
 }
 
