Take surplus data that comes with a later response for a copy of that one

Its lateness was counted from the response before, so it looked too late for the long rest and began a single use. The response to a request that was not yet written completely is reported as what it is: data that no rest covers.

--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -201,7 +201,7 @@
         }
         match sent {
             Ok(response) if self.is_surplus(&lease, progress.get(), &response) => {
-                connection.surplus_reporter().report();
+                connection.surplus_reporter().report_early_response();
                 Ok(None)
             }
             Ok(response) => Ok(Some(Exchange {
--- a/balancer/src/outbound/connection_use.rs
+++ b/balancer/src/outbound/connection_use.rs
@@ -1,6 +1,7 @@
 //! What one connection to an upstream has carried, and what surplus data on it shows.
 use crate::outbound::surplus_history::{SurplusEvidence, LONG_REST, MAX_EXPECTED_LATENESS};
 use std::cell::Cell;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The requests that one connection has carried.
@@ -10,6 +11,8 @@
     requests: Cell<u32>,
     /// When its newest response was complete.
     last_response_at: Cell<Option<Instant>>,
+    /// Whether its newest request has not got a complete response.
+    awaits_response: Cell<bool>,
     /// Whether a request followed a response before [`LONG_REST`] had passed.
     has_been_reused_early: Cell<bool>,
 }
@@ -24,11 +27,13 @@
         self.has_been_reused_early
             .set(self.has_been_reused_early.get() || follows_early);
         self.requests.set(self.requests.get().saturating_add(1));
+        self.awaits_response.set(true);
     }
 
     /// Its newest request has got a complete response.
     pub fn record_response(&self, now: Instant) {
         self.last_response_at.set(Some(now));
+        self.awaits_response.set(false);
     }
 
     /// Whether it has got a complete response.
@@ -46,15 +51,23 @@
     /// got an earlier one's. What comes very late would have been taken for a response if the
     /// connection had been reused.
     pub fn evidence_of_surplus(&self, now: Instant) -> SurplusEvidence {
-        let is_late = self.last_response_at.get().is_some_and(|response_at| {
-            now.saturating_duration_since(response_at) > MAX_EXPECTED_LATENESS
-        });
+        let is_late = self.lateness(now) > MAX_EXPECTED_LATENESS;
         if is_late || self.has_been_reused_early.get() {
             SurplusEvidence::Unexplained
         } else {
             SurplusEvidence::ExpectedCopy
         }
     }
+
+    /// Time since the newest response. What comes before it is known to be complete, comes with it.
+    fn lateness(&self, now: Instant) -> Duration {
+        match self.last_response_at.get() {
+            Some(response_at) if !self.awaits_response.get() => {
+                now.saturating_duration_since(response_at)
+            }
+            Some(_) | None => Duration::ZERO,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/balancer/src/outbound/connection_use/tests.rs
+++ b/balancer/src/outbound/connection_use/tests.rs
@@ -1,6 +1,5 @@
 //! What surplus data shows, by what its connection has carried.
 use super::*;
-use std::time::Duration;
 
 const MOMENT: Duration = Duration::from_millis(1);
 
@@ -66,3 +65,14 @@
         assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
     }
 }
+
+/// Guards against counting the lateness of data that comes with a response from the response before
+/// it.
+#[test]
+fn surplus_data_behind_a_later_response_is_a_copy_of_it() {
+    let (connection, now) = used_connection(&[LONG_REST]);
+    let next = now + LONG_REST * 2;
+    connection.record_request(next);
+    let evidence = connection.evidence_of_surplus(next + MOMENT);
+    assert_eq!(evidence, SurplusEvidence::ExpectedCopy);
+}
--- a/balancer/src/outbound/surplus_reporter.rs
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -45,13 +45,22 @@
     /// Surplus data was detected on the connection. Requests in flight on connections that were
     /// used before are not answered from them.
     pub fn report(&self) {
+        let now = Instant::now();
+        self.report_evidence(self.connection_use.evidence_of_surplus(now), now);
+    }
+
+    /// A response arrived before its request was written completely. A copy of an earlier one is so
+    /// late that no rest covers it.
+    pub fn report_early_response(&self) {
+        self.report_evidence(SurplusEvidence::Unexplained, Instant::now());
+    }
+
+    fn report_evidence(&self, evidence: SurplusEvidence, now: Instant) {
         let Some(record) = self.record.upgrade() else {
             return;
         };
         self.counts.record_surplus();
         let address = record.address();
-        let now = Instant::now();
-        let evidence = self.connection_use.evidence_of_surplus(now);
         tracing::debug!(upstream = %address, ?evidence, "surplus data detected");
         if let Some(period) = record.record_surplus(evidence, now) {
             LogOutput::StandardError.write_line(&format!(
