End requests with a revoked lease as errors, not as resets

A request in flight on a used connection when surplus data was detected ended as a reset. Within 10 ms of its start the core counts that as the reset of a stale idle connection (half of the weight, for all endpoints), and closed idle connections before nearly each attempt from then on: one copy made nearly every request pay for a new connection, whatever the reuse rule was. The upstream's response is what cannot be used, so it ends as an error.

--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -191,7 +191,7 @@
             () = lease.revoked() => {
                 // Without its last byte the request has not run, and may use another connection.
                 return match progress.get() {
-                    WriteProgress::Complete => Err(AttemptOutcome::Reset.into()),
+                    WriteProgress::Complete => Err(AttemptOutcome::Error.into()),
                     WriteProgress::Partial | WriteProgress::HandedOver => Ok(None),
                 };
             }
@@ -306,7 +306,7 @@
         let (head, mut body) = response.into_parts();
         let buffered = buffer_body(&mut body, declared_length).await?;
         if lease.is_revoked() {
-            return Err(AttemptOutcome::Reset);
+            return Err(AttemptOutcome::Error);
         }
         let response = match buffered {
             BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -3,6 +3,8 @@
 use crate::body::request_body::RequestBody;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::outbound::connection_pool::PooledConnection;
+use crate::outbound::surplus_history::SurplusEvidence;
+use crate::outbound::surplus_reporter::SurplusRecord;
 use crate::telemetry::metrics::Metrics;
 use crate::test_support::get_request;
 use hyper::Method;
@@ -217,6 +219,45 @@
     });
 }
 
+/// Guards against taking a connection that was closed because of surplus data for a stale one: the
+/// core would close all idle connections before each attempt.
+#[test]
+fn reports_a_request_that_may_get_another_response_as_error() {
+    run_test(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let upstream = Upstream::new(listener.local_addr().expect("an address"));
+        let (second_arrived, second_awaited) = tokio::sync::oneshot::channel();
+        let server = std::thread::spawn(move || {
+            let (mut peer, _) = listener.accept().expect("accepts");
+            read_until(&mut peer, b"\r\n\r\n");
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .expect("writes");
+            read_until(&mut peer, b"\r\n\r\n");
+            second_arrived.send(()).expect("the test waits");
+            read_until(&mut peer, b"\r\n\r\n")
+        });
+        let transport = transport(DescriptorBudget::new(64));
+        let attempt = || {
+            let deadline = Instant::now() + Duration::from_secs(50);
+            let request = Rc::new(get_request());
+            transport.attempt(upstream.clone(), request, deadline, || (), |_| ())
+        };
+        assert_eq!(attempt().await.outcome, AttemptOutcome::Success);
+        tokio::time::sleep(REST).await;
+        let detection = async {
+            second_awaited.await.expect("a request");
+            upstream.record_surplus(SurplusEvidence::ExpectedCopy, Instant::now());
+        };
+        let (result, ()) = tokio::join!(attempt(), detection);
+        assert_eq!(result.outcome, AttemptOutcome::Error);
+        // The connection's task closes it.
+        tokio::time::sleep(REST).await;
+        assert!(server.is_finished(), "the connection is closed");
+        let further = server.join().expect("the upstream");
+        assert!(further.is_empty(), "nothing more is written to it");
+    });
+}
+
 /// Reads until the bytes end with `end`, or the stream ends.
 fn read_until(from: &mut std::net::TcpStream, end: &[u8]) -> Vec<u8> {
     let mut all = Vec::new();
--- a/balancer/src/outbound/reuse_lease.rs
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -6,6 +6,9 @@
 /// The use of one connection for one request. It is revoked when the upstream turns out to send
 /// surplus data, if the connection carried an earlier request: its next response may belong to that
 /// one. The first response on a connection is always its own request's.
+///
+/// A request whose lease is revoked ends as an error, not as a reset: an early reset would make the
+/// core take all idle connections for stale.
 pub struct ReuseLease {
     upstream: Rc<Upstream>,
     carried_earlier_request: bool,
