Rest as long after a copy as its lateness asks for

If the surplus bytes are the same again, no request got a wrong response, and the lateness is known: connections rest 8 times as long, 200 ms to 1.5 s.

--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -1,5 +1,6 @@
 //! A TCP stream that stays accessible while hyper reads and writes it: how far a message is
 //! written, whether the peer has disconnected, and since when bytes are unread.
+use crate::net::received_bytes::{ReceivedBytes, MAX_KEPT_BYTES};
 use crate::net::socket_io;
 use std::cell::{Cell, RefCell, RefMut};
 use std::future::{poll_fn, Future};
@@ -59,6 +60,8 @@
     /// Since when bytes are known to be unread.
     unread_since: Rc<Cell<Option<Instant>>>,
     write_permit: Rc<RefCell<Option<WritePermit>>>,
+    /// The newest response, on a connection to an upstream.
+    received: Option<Rc<RefCell<ReceivedBytes>>>,
 }
 
 /// The other side of a shared stream. Does not keep the connection open.
@@ -105,6 +108,48 @@
             readiness_cleared: Rc::default(),
             unread_since: Rc::default(),
             write_permit: Rc::default(),
+            received: None,
+        }
+    }
+
+    /// Shares a stream to an upstream, and keeps its newest response.
+    pub fn to_upstream(stream: TcpStream, messages_written: Rc<Cell<u64>>) -> SharedStream {
+        SharedStream {
+            received: Some(Rc::default()),
+            ..SharedStream::new(stream, messages_written)
+        }
+    }
+
+    /// A request begins, whose response is kept.
+    pub fn begin_request(&self) {
+        if let Some(received) = &self.received {
+            received.borrow_mut().begin_request();
+        }
+    }
+
+    /// The response to the newest request is complete.
+    pub fn complete_response(&self) {
+        if let Some(received) = &self.received {
+            received.borrow_mut().complete_response();
+        }
+    }
+
+    /// Whether what follows the newest response is the same response again. Takes unread bytes: the
+    /// connection is of no further use.
+    pub fn is_response_repeated(&self) -> bool {
+        let mut buffer = [0; MAX_KEPT_BYTES];
+        let mut unread = ReadBuf::new(&mut buffer);
+        // Without them the answer is no.
+        let _ = socket_io::try_read(&self.stream.borrow(), &mut unread);
+        self.keep_received(unread.filled());
+        self.received
+            .as_ref()
+            .is_some_and(|received| received.borrow().is_response_repeated())
+    }
+
+    fn keep_received(&self, bytes: &[u8]) {
+        if let Some(received) = &self.received {
+            received.borrow_mut().append(bytes);
         }
     }
 
@@ -192,14 +237,8 @@
         }
     }
 
-    fn stream(&self) -> RefMut<'_, TcpStream> {
-        self.stream.borrow_mut()
-    }
-}
-
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
+    fn poll_read_unkept(
+        &self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -214,6 +253,23 @@
         }
         socket_io::poll_read(&stream, cx, buf)
     }
+
+    fn stream(&self) -> RefMut<'_, TcpStream> {
+        self.stream.borrow_mut()
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let result = self.poll_read_unkept(cx, buf);
+        self.keep_received(&buf.filled()[filled..]);
+        result
+    }
 }
 
 impl AsyncWrite for SharedStream {
--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -297,6 +297,7 @@
         let now = Instant::now();
         connection.socket.acknowledge_received_data();
         connection.connection_use().record_response(now);
+        connection.socket.complete_response();
         let is_single_use = self.surplus.is_single_use(now + LONG_REST);
         if !(is_single_use && self.is_observing()) {
             self.add_idle(connection, is_single_use);
@@ -334,9 +335,13 @@
     }
 
     /// A reporter of surplus data for one connection to it.
-    pub fn surplus_reporter(self: &Rc<Self>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+    pub fn surplus_reporter(
+        self: &Rc<Self>,
+        socket: SharedStream,
+        counts: Rc<UpstreamCounts>,
+    ) -> SurplusReporter {
         let record: Rc<dyn SurplusRecord> = self.clone();
-        SurplusReporter::new(Rc::downgrade(&record), counts)
+        SurplusReporter::new(Rc::downgrade(&record), socket, counts)
     }
 }
 
@@ -348,9 +353,7 @@
     /// None of the idle connections is used again, unless a long rest shows whether a copy follows
     /// on them too.
     fn record_surplus(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration> {
-        let is_covered =
-            self.surplus.requires_long_rest(now) && evidence == SurplusEvidence::ExpectedCopy;
-        if !is_covered {
+        if !self.surplus.is_covered_by_rest(evidence, now) {
             self.close_idle();
         }
         self.surplus.record(evidence, now)
--- a/balancer/src/outbound/connection_use.rs
+++ b/balancer/src/outbound/connection_use.rs
@@ -50,9 +50,15 @@
     /// copy of that request's response. After early reuse it may be the response to a request that
     /// got an earlier one's. What comes very late would have been taken for a response if the
     /// connection had been reused.
-    pub fn evidence_of_surplus(&self, now: Instant) -> SurplusEvidence {
-        let is_late = self.lateness(now) > MAX_EXPECTED_LATENESS;
-        if is_late || self.has_been_reused_early.get() {
+    ///
+    /// If it is the same as the newest response (`is_copy`), that response was the right one: the
+    /// request that got it would have got the same otherwise.
+    pub fn evidence_of_surplus(&self, is_copy: bool, now: Instant) -> SurplusEvidence {
+        let lateness = self.lateness(now);
+        let is_late = lateness > MAX_EXPECTED_LATENESS;
+        if is_copy && !is_late {
+            SurplusEvidence::Copy { lateness }
+        } else if is_late || self.has_been_reused_early.get() {
             SurplusEvidence::Unexplained
         } else {
             SurplusEvidence::ExpectedCopy
--- a/balancer/src/outbound/connection_use/tests.rs
+++ b/balancer/src/outbound/connection_use/tests.rs
@@ -18,19 +18,23 @@
 }
 
 #[test]
-fn surplus_data_after_one_request_is_a_copy_of_its_response() {
+fn surplus_data_after_one_request_is_expected() {
     let connection = ConnectionUse::default();
     let now = Instant::now();
     let expected = SurplusEvidence::ExpectedCopy;
-    assert_eq!(connection.evidence_of_surplus(now), expected, "unused");
+    assert_eq!(
+        connection.evidence_of_surplus(false, now),
+        expected,
+        "unused"
+    );
     connection.record_request(now);
     assert!(!connection.has_carried_request());
-    let at_once = connection.evidence_of_surplus(now + LONG_REST);
+    let at_once = connection.evidence_of_surplus(false, now + LONG_REST);
     assert_eq!(at_once, expected, "behind the response");
     connection.record_response(now);
     assert!(connection.has_carried_request() && !connection.carries_later_request());
     for lateness in [Duration::ZERO, MOMENT, MAX_EXPECTED_LATENESS] {
-        let evidence = connection.evidence_of_surplus(now + lateness);
+        let evidence = connection.evidence_of_surplus(false, now + lateness);
         assert_eq!(evidence, expected, "{lateness:?}");
     }
 }
@@ -42,7 +46,7 @@
     for rests in [&[early][..], &[early, LONG_REST], &[LONG_REST, early]] {
         let (connection, now) = used_connection(rests);
         assert!(connection.carries_later_request());
-        let evidence = connection.evidence_of_surplus(now);
+        let evidence = connection.evidence_of_surplus(false, now);
         assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
     }
 }
@@ -50,9 +54,9 @@
 /// Guards against paying for each copy with a period of single use: no earlier response's copy can
 /// follow that late.
 #[test]
-fn surplus_data_after_long_rests_is_a_copy_of_the_newest_response() {
+fn surplus_data_after_long_rests_is_expected() {
     let (connection, now) = used_connection(&[LONG_REST, LONG_REST * 2]);
-    let evidence = connection.evidence_of_surplus(now + MOMENT);
+    let evidence = connection.evidence_of_surplus(false, now + MOMENT);
     assert_eq!(evidence, SurplusEvidence::ExpectedCopy);
 }
 
@@ -61,7 +65,7 @@
 fn surplus_data_that_is_nearly_too_late_for_the_rest_is_unexplained() {
     for rests in [&[][..], &[LONG_REST]] {
         let (connection, now) = used_connection(rests);
-        let evidence = connection.evidence_of_surplus(now + MAX_EXPECTED_LATENESS + MOMENT);
+        let evidence = connection.evidence_of_surplus(false, now + MAX_EXPECTED_LATENESS + MOMENT);
         assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
     }
 }
@@ -69,10 +73,26 @@
 /// Guards against counting the lateness of data that comes with a response from the response before
 /// it.
 #[test]
-fn surplus_data_behind_a_later_response_is_a_copy_of_it() {
+fn surplus_data_behind_a_later_response_is_expected() {
     let (connection, now) = used_connection(&[LONG_REST]);
     let next = now + LONG_REST * 2;
     connection.record_request(next);
-    let evidence = connection.evidence_of_surplus(next + MOMENT);
+    let evidence = connection.evidence_of_surplus(false, next + MOMENT);
     assert_eq!(evidence, SurplusEvidence::ExpectedCopy);
 }
+
+/// Guards against long rests where the bytes show that the newest response was the right one.
+#[test]
+fn the_same_response_again_is_a_copy_with_its_lateness() {
+    let early = MOMENT;
+    for rests in [&[][..], &[early], &[LONG_REST]] {
+        let (connection, now) = used_connection(rests);
+        for lateness in [Duration::ZERO, MOMENT, MAX_EXPECTED_LATENESS] {
+            let evidence = connection.evidence_of_surplus(true, now + lateness);
+            assert_eq!(evidence, SurplusEvidence::Copy { lateness }, "{rests:?}");
+        }
+        let late = now + MAX_EXPECTED_LATENESS + MOMENT;
+        let evidence = connection.evidence_of_surplus(true, late);
+        assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
+    }
+}
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -138,7 +138,7 @@
     /// Whether an attempt waits for an idle connection to become reusable rather than open one more.
     fn waits_for_idle(&self, upstream: &Upstream) -> bool {
         let may_wait = upstream.has_one_connection() || !self.sockets.is_plentiful();
-        may_wait && !upstream.surplus().requires_long_rest(Instant::now())
+        may_wait && !upstream.surplus().requires_rest(Instant::now())
     }
 
     /// Starts a dial that continues without its attempt: a connection that nothing waits for any
@@ -168,13 +168,13 @@
             .ok_or(AttemptOutcome::NotSent)?;
         let generation = upstream.generation();
         let stream = open_stream(upstream, deadline).await?;
-        let socket = SharedStream::new(stream, self.counts.requests_written());
+        let socket = SharedStream::to_upstream(stream, self.counts.requests_written());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(socket.clone()))
             .await
             .map_err(|_| AttemptOutcome::ConnectFailed)?;
-        let surplus_reporter = upstream.surplus_reporter(self.counts.clone());
+        let surplus_reporter = upstream.surplus_reporter(socket.clone(), self.counts.clone());
         let reporter = surplus_reporter.clone();
         let open_count = self.counts.record_connection_opened();
         let task = tokio::task::spawn_local(async move {
--- a/balancer/src/outbound/reuse_lease.rs
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -20,6 +20,7 @@
     /// The next request's use of this connection to `upstream`.
     pub fn new(upstream: &Rc<Upstream>, connection: &Connection) -> ReuseLease {
         connection.connection_use().record_request(Instant::now());
+        connection.socket.begin_request();
         ReuseLease {
             upstream: upstream.clone(),
             carried_earlier_request: connection.connection_use().carries_later_request(),
--- a/balancer/src/outbound/surplus_history.rs
+++ b/balancer/src/outbound/surplus_history.rs
@@ -12,10 +12,14 @@
 /// Time between a response and the next request on its connection. Surplus data that arrives within
 /// this time is detected as unread data.
 const REUSE_DELAY: Duration = Duration::from_millis(50);
-/// The same once the upstream has sent surplus data. Copies of responses that are up to a second
+/// The same once the upstream has sent surplus data that is no certain copy. Copies of responses that are up to a second
 /// late show within it, also where the machine is busy. A copy closes its connection only, so the
 /// price follows the number of copies.
 pub const LONG_REST: Duration = Duration::from_millis(1500);
+/// A rest is this much longer than the latest known copy, as the next one may be later.
+const REST_PER_LATENESS: u32 = 8;
+/// Shortest rest once the upstream has sent surplus data.
+const MIN_REST_AFTER_SURPLUS: Duration = Duration::from_millis(200);
 /// How late a copy may be for [`LONG_REST`] to show it. Beyond it connections carry one request.
 pub const MAX_EXPECTED_LATENESS: Duration = Duration::from_millis(1250);
 /// The same on the only connection to an upstream that is trusted: requests that follow one another
@@ -41,18 +45,39 @@
 /// What surplus data shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SurplusEvidence {
-    /// A copy of the newest response on its connection, early enough for [`LONG_REST`] to show it.
+    /// A copy of the newest response on its connection, as its bytes show.
+    Copy {
+        /// Time since that response.
+        lateness: Duration,
+    },
+    /// Probably a copy of the newest response on its connection, early enough for [`LONG_REST`] to show it.
     ExpectedCopy,
     /// Perhaps the response to a request that got another one's, or a copy that is too late.
     Unexplained,
 }
 
+impl SurplusEvidence {
+    /// Time between a response and the next request on its connection in which the next such data
+    /// shows.
+    fn required_rest(self) -> Duration {
+        match self {
+            SurplusEvidence::Copy { lateness } => {
+                (lateness * REST_PER_LATENESS).clamp(MIN_REST_AFTER_SURPLUS, LONG_REST)
+            }
+            SurplusEvidence::ExpectedCopy | SurplusEvidence::Unexplained => LONG_REST,
+        }
+    }
+}
+
 /// What is known of one upstream's surplus data.
 pub struct SurplusHistory {
     /// When it is reported as suspect.
     suspect: GrowingPeriod,
     /// When each connection carries one request.
     single_use: GrowingPeriod,
+    /// Time between a response and the next request on its connection, as far as surplus data
+    /// demands one.
+    rest: Cell<Duration>,
     /// How often surplus data was detected.
     detections: Cell<u64>,
     /// How often a connection was reused after a rest in which no surplus data arrived.
@@ -66,6 +91,7 @@
         SurplusHistory {
             suspect: GrowingPeriod::new(FIRST_SUSPECT_PERIOD, MAX_SUSPECT_PERIOD),
             single_use: GrowingPeriod::new(FIRST_SINGLE_USE_PERIOD, MAX_SINGLE_USE_PERIOD),
+            rest: Cell::default(),
             detections: Cell::default(),
             reuses: Cell::default(),
             detected: Notify::default(),
@@ -84,8 +110,8 @@
         self.single_use.contains(now)
     }
 
-    /// Whether connections rest for [`LONG_REST`] between two requests.
-    pub fn requires_long_rest(&self, now: Instant) -> bool {
+    /// Whether surplus data makes connections rest for longer between two requests.
+    pub fn requires_rest(&self, now: Instant) -> bool {
         self.suspect
             .end_and_length()
             .is_some_and(|(end, length)| now < end + length * CLEAN_PERIODS)
@@ -94,8 +120,8 @@
     /// Time between a response and the next request on its connection, which may be the only one to
     /// the upstream.
     pub fn reuse_delay(&self, is_sole: bool, now: Instant) -> Duration {
-        if self.requires_long_rest(now) {
-            LONG_REST
+        if self.requires_rest(now) {
+            self.rest.get()
         } else if is_sole && self.reuses.get() >= TRUSTED_REUSES {
             SOLE_REUSE_DELAY
         } else {
@@ -108,13 +134,23 @@
         self.reuses.set(self.reuses.get().saturating_add(1));
     }
 
+    /// Whether this evidence asks for no more rest than connections have, so that idle ones may be
+    /// used again.
+    pub fn is_covered_by_rest(&self, evidence: SurplusEvidence, now: Instant) -> bool {
+        self.requires_rest(now)
+            && evidence != SurplusEvidence::Unexplained
+            && evidence.required_rest() <= self.rest.get()
+    }
+
     /// Records that surplus data was detected. Returns the period for which the upstream is
     /// suspect, if it begins now; a period that has begun is extended.
     pub fn record(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration> {
-        if !self.requires_long_rest(now) {
+        if !self.requires_rest(now) {
             self.suspect.reset();
             self.single_use.reset();
+            self.rest.set(Duration::ZERO);
         }
+        self.rest.set(self.rest.get().max(evidence.required_rest()));
         let suspect_period = self.suspect.record_fault(now);
         if evidence == SurplusEvidence::Unexplained {
             self.single_use.record_fault(now);
--- a/balancer/src/outbound/surplus_history/tests.rs
+++ b/balancer/src/outbound/surplus_history/tests.rs
@@ -65,8 +65,8 @@
         now += length;
     }
     let clean = now + FIRST_SUSPECT_PERIOD * 2 * CLEAN_PERIODS;
-    assert!(history.requires_long_rest(clean - MOMENT));
-    assert!(!history.requires_long_rest(clean));
+    assert!(history.requires_rest(clean - MOMENT));
+    assert!(!history.requires_rest(clean));
     assert_eq!(history.reuse_delay(true, clean), REUSE_DELAY);
     let relapse = history.record(evidence, clean);
     assert_eq!(relapse, Some(FIRST_SUSPECT_PERIOD), "it is forgiven");
@@ -114,7 +114,7 @@
     history.record_clean_observation(now);
     assert!(history.is_single_use(now + FIRST_SINGLE_USE_PERIOD - MOMENT));
     assert!(!history.is_single_use(now + FIRST_SINGLE_USE_PERIOD));
-    assert!(history.requires_long_rest(now + FIRST_SINGLE_USE_PERIOD));
+    assert!(history.requires_rest(now + FIRST_SINGLE_USE_PERIOD));
 }
 
 #[test]
@@ -128,3 +128,42 @@
     assert_eq!(history.reuse_delay(true, now), SOLE_REUSE_DELAY);
     assert_eq!(history.reuse_delay(false, now), REUSE_DELAY);
 }
+
+fn copy(lateness_ms: u64) -> SurplusEvidence {
+    let lateness = Duration::from_millis(lateness_ms);
+    SurplusEvidence::Copy { lateness }
+}
+
+/// Guards against rests that are hardly longer than copies are late, and against paying for longer
+/// ones than the copies ask for.
+#[test]
+fn the_rest_follows_the_latest_known_copy() {
+    for (lateness_ms, rest_ms) in [(0, 200), (5, 200), (60, 480), (200, 1500), (1000, 1500)] {
+        let history = SurplusHistory::default();
+        let now = Instant::now();
+        for lateness in [lateness_ms, 0] {
+            history.record(copy(lateness), now);
+            let rest = Duration::from_millis(rest_ms);
+            assert_eq!(history.reuse_delay(true, now), rest, "{lateness_ms} ms");
+            assert!(!history.is_single_use(now));
+        }
+        history.record(SurplusEvidence::Unexplained, now);
+        assert_eq!(history.reuse_delay(true, now), LONG_REST);
+        history.record(copy(lateness_ms), now);
+        assert_eq!(history.reuse_delay(true, now), LONG_REST, "it stays long");
+    }
+}
+
+#[test]
+fn a_rest_covers_copies_that_ask_for_no_longer_one() {
+    let history = SurplusHistory::default();
+    let now = Instant::now();
+    assert!(!history.is_covered_by_rest(copy(5), now), "the first");
+    history.record(copy(5), now);
+    assert!(history.is_covered_by_rest(copy(25), now));
+    assert!(!history.is_covered_by_rest(copy(26), now));
+    assert!(!history.is_covered_by_rest(SurplusEvidence::ExpectedCopy, now));
+    history.record(SurplusEvidence::ExpectedCopy, now);
+    assert!(history.is_covered_by_rest(SurplusEvidence::ExpectedCopy, now));
+    assert!(!history.is_covered_by_rest(SurplusEvidence::Unexplained, now));
+}
--- a/balancer/src/outbound/surplus_reporter.rs
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -1,4 +1,5 @@
 //! Reports surplus data on a connection to its upstream, the metrics and the log.
+use crate::net::shared_stream::SharedStream;
 use crate::outbound::connection_use::ConnectionUse;
 use crate::outbound::surplus_history::{SurplusEvidence, LONG_REST};
 use crate::telemetry::log::LogOutput;
@@ -23,15 +24,21 @@
 #[derive(Clone)]
 pub struct SurplusReporter {
     record: Weak<dyn SurplusRecord>,
+    socket: SharedStream,
     connection_use: Rc<ConnectionUse>,
     counts: Rc<UpstreamCounts>,
 }
 
 impl SurplusReporter {
     /// A reporter for one connection. It updates the upstream's `record` while that exists.
-    pub fn new(record: Weak<dyn SurplusRecord>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+    pub fn new(
+        record: Weak<dyn SurplusRecord>,
+        socket: SharedStream,
+        counts: Rc<UpstreamCounts>,
+    ) -> SurplusReporter {
         SurplusReporter {
             record,
+            socket,
             connection_use: Rc::default(),
             counts,
         }
@@ -46,7 +53,9 @@
     /// used before are not answered from them.
     pub fn report(&self) {
         let now = Instant::now();
-        self.report_evidence(self.connection_use.evidence_of_surplus(now), now);
+        let is_copy = self.socket.is_response_repeated();
+        let evidence = self.connection_use.evidence_of_surplus(is_copy, now);
+        self.report_evidence(evidence, now);
     }
 
     /// A response arrived before its request was written completely. A copy of an earlier one is so
@@ -65,7 +74,7 @@
         if let Some(period) = record.record_surplus(evidence, now) {
             LogOutput::StandardError.write_line(&format!(
                 "upstream {address}: data beyond its responses: one request per connection for {} s \
-                 unless it rests {} s",
+                 unless it rests up to {} s",
                 period.as_secs(),
                 LONG_REST.as_secs_f64()
             ));
