--- a/balancer/src/net/mod.rs
+++ b/balancer/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod descriptor_budget;
 pub(crate) mod listener;
+mod received_bytes;
 pub(crate) mod retry_io;
 pub(crate) mod shared_stream;
 pub(crate) mod socket_io;
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -192,7 +192,7 @@
             () = lease.revoked() => {
                 // Without its last byte the request has not run, and may use another connection.
                 return match progress.get() {
-                    WriteProgress::Complete => Err(AttemptOutcome::Reset.into()),
+                    WriteProgress::Complete => Err(AttemptOutcome::Error.into()),
                     WriteProgress::Partial | WriteProgress::HandedOver => Ok(None),
                 };
             }
@@ -202,7 +202,7 @@
         }
         match sent {
             Ok(response) if self.is_surplus(&lease, progress.get(), &response) => {
-                connection.surplus_reporter().report();
+                connection.surplus_reporter().report_early_response();
                 Ok(None)
             }
             Ok(response) => Ok(Some(Exchange {
@@ -307,7 +307,7 @@
         let (head, mut body) = response.into_parts();
         let buffered = buffer_body(&mut body, declared_length).await?;
         if lease.is_revoked() {
-            return Err(AttemptOutcome::Reset);
+            return Err(AttemptOutcome::Error);
         }
         let response = match buffered {
             BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -3,7 +3,6 @@
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use crate::net::tcp_stream::TcpStream;
 use crate::outbound::connection_pool::{Connection, PooledConnection, Upstream};
-use crate::outbound::surplus_reporter::SurplusReporter;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use crate::time::{sleep_until, timeout_at};
 use balancer_core::AttemptOutcome;
@@ -140,7 +139,7 @@
     /// Whether an attempt waits for an idle connection to become reusable rather than open one more.
     fn waits_for_idle(&self, upstream: &Upstream) -> bool {
         let may_wait = upstream.has_one_connection() || !self.sockets.is_plentiful();
-        may_wait && !upstream.surplus().has_detected()
+        may_wait && !upstream.surplus().requires_rest(Instant::now())
     }
 
     /// Starts a dial that continues without its attempt: a connection that nothing waits for any
@@ -170,15 +169,17 @@
             .ok_or(AttemptOutcome::NotSent)?;
         let generation = upstream.generation();
         let stream = open_stream(upstream, deadline).await?;
-        let socket = SharedStream::new(stream, self.counts.requests_written());
+        let socket = SharedStream::to_upstream(stream, self.counts.requests_written());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(socket.clone()))
             .await
             .map_err(|_| AttemptOutcome::ConnectFailed)?;
-        let surplus_reporter = SurplusReporter::new(upstream, self.counts.clone());
+        let surplus_reporter = upstream.surplus_reporter(socket.clone(), self.counts.clone());
         let reporter = surplus_reporter.clone();
+        let open_count = self.counts.record_connection_opened();
         let task = tokio::task::spawn_local(async move {
+            let _open_count = open_count;
             // The attempt on the connection sees how it ends, unless it is idle.
             if let Err(error) = connection.await {
                 reporter.report_if_cause(&error);
--- a/balancer/src/outbound/reuse_lease.rs
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -1,10 +1,14 @@
 //! Whether a request's connection may still carry its response.
 use crate::outbound::connection_pool::{Connection, Upstream};
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// The use of one connection for one request. It is revoked when the upstream turns out to send
 /// surplus data, if the connection carried an earlier request: its next response may belong to that
 /// one. The first response on a connection is always its own request's.
+///
+/// A request whose lease is revoked ends as an error, not as a reset: an early reset would make the
+/// core take all idle connections for stale.
 pub struct ReuseLease {
     upstream: Rc<Upstream>,
     carried_earlier_request: bool,
@@ -15,9 +19,11 @@
 impl ReuseLease {
     /// The next request's use of this connection to `upstream`.
     pub fn new(upstream: &Rc<Upstream>, connection: &Connection) -> ReuseLease {
+        connection.connection_use().record_request(Instant::now());
+        connection.socket.begin_request();
         ReuseLease {
             upstream: upstream.clone(),
-            carried_earlier_request: connection.has_carried_request(),
+            carried_earlier_request: connection.connection_use().carries_later_request(),
             known_detections: upstream.surplus().detections(),
         }
     }
--- a/balancer/src/outbound/surplus_reporter.rs
+++ b/balancer/src/outbound/surplus_reporter.rs
@@ -1,40 +1,82 @@
 //! Reports surplus data on a connection to its upstream, the metrics and the log.
-use crate::outbound::connection_pool::Upstream;
+use crate::net::shared_stream::SharedStream;
+use crate::outbound::connection_use::ConnectionUse;
+use crate::outbound::surplus_history::{SurplusEvidence, LONG_REST};
 use crate::telemetry::log::LogOutput;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// Reports surplus data of one upstream.
+/// Remembers the surplus data of one upstream.
+pub trait SurplusRecord {
+    /// Where the upstream listens.
+    fn address(&self) -> SocketAddr;
+
+    /// Records that surplus data was detected, and what it shows. Returns the period for which the
+    /// upstream is suspect, if it begins now.
+    fn record_surplus(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration>;
+}
+
+/// Reports surplus data on one connection to an upstream.
 #[derive(Clone)]
 pub struct SurplusReporter {
-    upstream: Weak<Upstream>,
+    record: Weak<dyn SurplusRecord>,
+    socket: SharedStream,
+    connection_use: Rc<ConnectionUse>,
     counts: Rc<UpstreamCounts>,
 }
 
 impl SurplusReporter {
-    /// A reporter for one connection to `upstream`.
-    pub fn new(upstream: &Rc<Upstream>, counts: Rc<UpstreamCounts>) -> SurplusReporter {
+    /// A reporter for one connection. It updates the upstream's `record` while that exists.
+    pub fn new(
+        record: Weak<dyn SurplusRecord>,
+        socket: SharedStream,
+        counts: Rc<UpstreamCounts>,
+    ) -> SurplusReporter {
         SurplusReporter {
-            upstream: Rc::downgrade(upstream),
+            record,
+            socket,
+            connection_use: Rc::default(),
             counts,
         }
     }
 
-    /// Surplus data was detected on the connection. Its idle connections are closed, and requests
-    /// in flight on connections that were used before are not answered from them.
+    /// What the connection has carried.
+    pub fn connection_use(&self) -> &ConnectionUse {
+        &self.connection_use
+    }
+
+    /// Surplus data was detected on the connection. Requests in flight on connections that were
+    /// used before are not answered from them.
     pub fn report(&self) {
-        let Some(upstream) = self.upstream.upgrade() else {
+        let now = Instant::now();
+        let is_copy = self.socket.is_response_repeated();
+        let evidence = self.connection_use.evidence_of_surplus(is_copy, now);
+        self.report_evidence(evidence, now);
+    }
+
+    /// A response arrived before its request was written completely. A copy of an earlier one is so
+    /// late that no rest covers it.
+    pub fn report_early_response(&self) {
+        self.report_evidence(SurplusEvidence::Unexplained, Instant::now());
+    }
+
+    fn report_evidence(&self, evidence: SurplusEvidence, now: Instant) {
+        let Some(record) = self.record.upgrade() else {
             return;
         };
         self.counts.record_surplus();
-        let address = upstream.address();
-        tracing::debug!(upstream = %address, "surplus data detected");
-        if let Some(period) = upstream.record_surplus(Instant::now()) {
+        let address = record.address();
+        tracing::debug!(upstream = %address, ?evidence, "surplus data detected");
+        if let Some(period) = record.record_surplus(evidence, now) {
             LogOutput::StandardError.write_line(&format!(
-                "upstream {address}: data beyond its responses: one request per connection for {} s",
-                period.as_secs()
+                "upstream {address}: data beyond its responses: one request per connection for {} s \
+                 unless it rests up to {} s",
+                period.as_secs(),
+                LONG_REST.as_secs_f64()
             ));
         }
     }
