Test that a replica with little traffic admits both requests of a pair

MIN_INFLIGHT 1 failed no test, as the existing one never had two requests at once while latency was low. With 1, the second request of the first pair is rejected.

--- a/balancer-core/tests/inflight_limits.rs
+++ b/balancer-core/tests/inflight_limits.rs
@@ -1,7 +1,9 @@
 //! Limits of requests in flight.
 mod common;
 
-use balancer_core::{Action, Class, EndpointEvent, Idempotency, Settings, UpstreamId};
+use balancer_core::{
+    Action, AttemptOutcome, Class, EndpointEvent, Idempotency, Settings, UpstreamId,
+};
 use common::{
     class_with_late_value, draining, endpoint, no_response, settings_with_late_value,
     settings_without_tenants, success_after, tenants, Response, TestHarness,
@@ -186,3 +188,26 @@
         "{sent} of 232 requests admitted though three endpoints are idle"
     );
 }
+
+/// Guards against a limit of one request in flight, which rejects the second of two that arrive together by chance.
+#[test]
+fn replica_with_little_traffic_admits_both_requests_of_a_pair() {
+    let settings = Settings {
+        tenants: tenants(&[1.0], 300.0),
+        balancers: 100,
+        ..Settings::default()
+    };
+    let mut harness = TestHarness::with_endpoints(settings, 4);
+    // Two of the three requests per second of its even quota.
+    for first in (0..60).step_by(2) {
+        for id in [first, first + 1] {
+            harness.send_request(id, 0, 0);
+            assert!(harness.request(id).was_sent(), "request {id} is sent");
+        }
+        harness.advance(50.0);
+        for id in [first, first + 1] {
+            harness.end_attempt(id, 0, AttemptOutcome::Success);
+        }
+        harness.advance(950.0);
+    }
+}
