Test a lower tier's initial capacity, and that unused quota is lent

INITIAL_MULTIPLE_BELOW_FIRST_TIER 1 and RESERVATION 0.9 failed no test: the existing one sends just the quotas, and limits only decide where requests in flight do.

--- a/balancer-core/tests/admission.rs
+++ b/balancer-core/tests/admission.rs
@@ -116,3 +116,41 @@
         assert!(sent >= min_sent, "{sent} admitted in tier {tier}");
     }
 }
+
+/// Guards against an initial capacity of the stated quotas below the first tier, where each request of a client may
+/// cause several: a rejection there wastes the work of the tiers above.
+#[test]
+fn lower_tier_that_receives_twice_the_quotas_rejects_none_at_start() {
+    let settings = Settings {
+        tier: 1,
+        ..settings_for_tenants(&[1.0])
+    };
+    let mut harness = TestHarness::with_endpoints(settings, 4);
+    harness.run_traffic(990.0, 120.0, &[0], &success_after(20.0));
+    let rejected = harness.count_actions(|action| matches!(action, Action::Reject { .. }));
+    assert_eq!(rejected, 0, "of 119 requests in the first second");
+}
+
+/// Guards against quotas that idle tenants keep while another one is rejected.
+#[test]
+fn busy_tenant_borrows_what_an_idle_one_leaves() {
+    let mut harness = TestHarness::with_endpoints(settings_for_tenants(&[0.5, 0.5]), 4);
+    // Tenant 1 sends one request in 50.
+    let mut tenants = [0; 50];
+    tenants[49] = 1;
+    harness.run_traffic(5000.0, 50.0, &tenants, &success_after(50.0));
+    // Responses are on time but slower: so many requests are in flight that tenants above their limits are rejected.
+    harness.run_traffic(10_000.0, 100.0, &tenants, &success_after(180.0));
+    let first = harness.next_request_id();
+    harness.run_traffic(10_000.0, 100.0, &tenants, &success_after(180.0));
+    let of_busy_tenant = harness
+        .requests
+        .iter()
+        .filter(|(id, record)| id.0 >= first && id.0 % 50 != 49 && record.was_sent());
+    // Its own 30 per second, and three quarters of the 27 that the other tenant may lend.
+    let sent = of_busy_tenant.count();
+    assert!(
+        sent > 500,
+        "{sent} requests of the busy tenant admitted in 10 s"
+    );
+}
