--- a/balancer-core/tests/health.rs
+++ b/balancer-core/tests/health.rs
@@ -187,3 +187,31 @@
         "endpoints were not used in {seconds_unused} of 140 seconds"
     );
 }
+
+/// Guards against ejections where half of the responses fail at all endpoints alike: several consecutive failures
+/// of one endpoint are chance, and no endpoint is worse than the others.
+#[test]
+fn endpoints_that_all_fail_every_other_request_are_not_ejected() {
+    let settings = settings_with_late_value(Idempotency::NonIdempotent);
+    let mut harness = TestHarness::with_endpoints(settings, 4);
+    let attempts = Cell::new(0u32);
+    let upstream = |_| {
+        attempts.set(attempts.get() + 1);
+        let outcome = if attempts.get().is_multiple_of(2) {
+            AttemptOutcome::Error
+        } else {
+            AttemptOutcome::Success
+        };
+        Some(Response {
+            outcome,
+            duration: 50.0,
+        })
+    };
+    // Until the failure rate of all endpoints is learned.
+    harness.run_traffic(10_000.0, 60.0, &[0], &upstream);
+    for second in 0..60 {
+        harness.run_traffic(1000.0, 60.0, &[0], &upstream);
+        let counts = harness.balancer.endpoint_counts(harness.now);
+        assert_eq!(counts.avoided, 0, "after {second} s");
+    }
+}
