--- a/balancer-core/tests/endpoint_choice.rs
+++ b/balancer-core/tests/endpoint_choice.rs
@@ -163,3 +163,32 @@
         sent.requests
     );
 }
+
+/// Guards against a subset so large that connections close between two requests, and most requests need a new one.
+#[test]
+fn subset_keeps_connections_open_where_they_close_soon() {
+    let settings = Settings {
+        idle_close: 200.0,
+        tenants: tenants(&[1.0], 300.0),
+        ..settings_for_tenants(&[1.0])
+    };
+    let idle_close = settings.idle_close;
+    let mut harness = TestHarness::with_endpoints(settings, 150);
+    harness.run_traffic(10_000.0, 300.0, &[0], &success_after(150.0));
+    let mut last_sent_at = BTreeMap::new();
+    let mut sent = 0;
+    let mut after_a_close = 0;
+    let records = harness.requests.values();
+    for attempt in records.flat_map(|record| &record.attempts) {
+        let last = last_sent_at.insert(attempt.upstream, attempt.sent_at);
+        if attempt.sent_at >= 5000.0 {
+            sent += 1;
+            let is_open = last.is_some_and(|last| attempt.sent_at - last < idle_close);
+            after_a_close += usize::from(!is_open);
+        }
+    }
+    assert!(
+        sent > 1400 && after_a_close * 10 < sent,
+        "{after_a_close} of {sent} requests sent after their endpoint had none for so long"
+    );
+}
