--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -1,10 +1,10 @@
 //! One attempt: sends a request to one upstream once, and reads its response.
-use crate::body::body_error::BodyError;
 use crate::body::limits::MAX_BODY_BYTES;
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::body::response_body::{response_stream, ResponseContent};
 use crate::invariants::{Guard, WriteConditions};
 use crate::net::shared_stream::{SharedStream, WriteProgress};
+use crate::outbound::attempt_result::{AttemptResult, ExchangeError};
 use crate::outbound::connection_pool::{Connection, Upstream};
 use crate::outbound::connector::{AcquiredConnection, ConnectionOrigin, Connector};
 use crate::outbound::headers::{remove_hop_by_hop_headers, DEADLINE_HEADER};
@@ -34,50 +34,6 @@
 /// Time allowed for a connection to become ready for its next request after a complete response.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// How an attempt ended.
-#[derive(Debug)]
-pub struct AttemptResult {
-    /// The outcome for the decision module.
-    pub outcome: AttemptOutcome,
-    /// The final response that the attempt has for the client. `None` if it has none, or has passed
-    /// it on already.
-    pub response: Option<FinalResponse>,
-}
-
-impl From<AttemptOutcome> for AttemptResult {
-    fn from(outcome: AttemptOutcome) -> AttemptResult {
-        AttemptResult {
-            outcome,
-            response: None,
-        }
-    }
-}
-
-/// Why an attempt ended before the head of a response.
-enum ExchangeError {
-    Outcome(AttemptOutcome),
-    /// The client's side of the request body failed.
-    RequestBody(BodyError),
-}
-
-impl From<AttemptOutcome> for ExchangeError {
-    fn from(outcome: AttemptOutcome) -> ExchangeError {
-        ExchangeError::Outcome(outcome)
-    }
-}
-
-impl From<ExchangeError> for AttemptResult {
-    fn from(error: ExchangeError) -> AttemptResult {
-        match error {
-            ExchangeError::Outcome(outcome) => outcome.into(),
-            ExchangeError::RequestBody(error) => AttemptResult {
-                outcome: AttemptOutcome::Cancelled,
-                response: Some(FinalResponse::RequestBodyFailed(error)),
-            },
-        }
-    }
-}
-
 /// What all attempts share.
 #[derive(Clone)]
 pub struct Transport {
--- /dev/null
+++ b/balancer/src/outbound/attempt_result.rs
@@ -0,0 +1,49 @@
+//! How an attempt ended, and why one ended early.
+use crate::body::body_error::BodyError;
+use crate::outbound::message::FinalResponse;
+use balancer_core::AttemptOutcome;
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct AttemptResult {
+    /// The outcome for the decision module.
+    pub outcome: AttemptOutcome,
+    /// The final response that the attempt has for the client. `None` if it has none, or has passed
+    /// it on already.
+    pub response: Option<FinalResponse>,
+}
+
+impl From<AttemptOutcome> for AttemptResult {
+    fn from(outcome: AttemptOutcome) -> AttemptResult {
+        AttemptResult {
+            outcome,
+            response: None,
+        }
+    }
+}
+
+/// Why an attempt ended before the head of a response.
+pub enum ExchangeError {
+    /// The outcome for the decision module.
+    Outcome(AttemptOutcome),
+    /// The client's side of the request body failed.
+    RequestBody(BodyError),
+}
+
+impl From<AttemptOutcome> for ExchangeError {
+    fn from(outcome: AttemptOutcome) -> ExchangeError {
+        ExchangeError::Outcome(outcome)
+    }
+}
+
+impl From<ExchangeError> for AttemptResult {
+    fn from(error: ExchangeError) -> AttemptResult {
+        match error {
+            ExchangeError::Outcome(outcome) => outcome.into(),
+            ExchangeError::RequestBody(error) => AttemptResult {
+                outcome: AttemptOutcome::Cancelled,
+                response: Some(FinalResponse::RequestBodyFailed(error)),
+            },
+        }
+    }
+}
--- a/balancer/src/outbound/dispatch.rs
+++ b/balancer/src/outbound/dispatch.rs
@@ -1,6 +1,7 @@
 //! How the attempts of a balancer are carried out.
 use crate::body::response_body::ResponseContent;
-use crate::outbound::attempt::{AttemptResult, Transport};
+use crate::outbound::attempt::Transport;
+use crate::outbound::attempt_result::AttemptResult;
 use crate::outbound::connection_pool::Upstream;
 use crate::outbound::message::{FinalResponse, OutboundRequest};
 use balancer_core::AttemptOutcome;
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams, and the attempts made on them.
 
 pub(crate) mod attempt;
+pub(crate) mod attempt_result;
 pub(crate) mod connection_pool;
 mod connection_use;
 pub(crate) mod connector;
