--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -3,7 +3,7 @@
     active_endpoints, balancer_command, balancer_config, call_admin, connect, wait_for_metric,
     with_admin_endpoint, with_read_timeout, Client, StubDiscovery, TEST_TIMEOUT,
 };
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus};
@@ -29,6 +29,8 @@
     pub discovery: StubDiscovery,
     log: Arc<Mutex<Vec<String>>>,
     log_reader: Option<thread::JoinHandle<()>>,
+    /// Its log after the start, if nobody is to read it.
+    unread_log: Option<BufReader<ChildStderr>>,
 }
 
 /// The addresses that a balancer logs when it starts.
@@ -46,7 +48,21 @@
     }
 
     /// Runs a command that starts a balancer, and waits until it serves.
-    pub fn run(mut command: Command, discovery: StubDiscovery) -> BalancerProcess {
+    pub fn run(command: Command, discovery: StubDiscovery) -> BalancerProcess {
+        let mut process = BalancerProcess::run_with_unread_log(command, discovery);
+        let unread_log = process.unread_log.take().expect("its log");
+        let lines = process.log.clone();
+        let log_reader = thread::spawn(move || {
+            for line in unread_log.lines().map_while(Result::ok) {
+                lines.lock().expect("no panic").push(line);
+            }
+        });
+        process.log_reader = Some(log_reader);
+        process
+    }
+
+    /// The same, but nobody reads its log once it serves.
+    pub fn run_with_unread_log(mut command: Command, discovery: StubDiscovery) -> BalancerProcess {
         let config_path = command
             .get_envs()
             .find(|(name, _)| *name == "NODE_CONFIG")
@@ -56,21 +72,15 @@
         let mut child = command.spawn().expect("starts");
         let mut stderr = BufReader::new(child.stderr.take().expect("its log"));
         let addresses = read_addresses(&mut stderr);
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let lines = log.clone();
-        let log_reader = thread::spawn(move || {
-            for line in stderr.lines().map_while(Result::ok) {
-                lines.lock().expect("no panic").push(line);
-            }
-        });
         BalancerProcess {
             child,
             config_path,
             address: addresses.serving,
             admin_address: addresses.admin,
             discovery,
-            log,
-            log_reader: Some(log_reader),
+            log: Arc::default(),
+            log_reader: None,
+            unread_log: Some(stderr),
         }
     }
 
@@ -134,6 +144,15 @@
         self.log.lock().expect("no panic").clone()
     }
 
+    /// Kills it, and returns how many bytes of its log the pipe held for nobody.
+    pub fn kill_and_measure_unread_log(&mut self) -> usize {
+        self.child.kill().expect("it runs");
+        let mut bytes = Vec::new();
+        let unread_log = self.unread_log.as_mut().expect("an unread log");
+        unread_log.read_to_end(&mut bytes).expect("its log");
+        bytes.len()
+    }
+
     /// Waits for a line of the log that contains this text.
     pub fn wait_for_log(&self, text: &str) {
         let start = Instant::now();
--- a/balancer/tests/failing_calls/rows.rs
+++ b/balancer/tests/failing_calls/rows.rs
@@ -12,7 +12,8 @@
     pub breaks_upstream_connections: bool,
 }
 
-const fn row(name: &'static str, faults: &'static [Fault], word: u64) -> Row {
+/// Calls that fail together, while connections to upstreams do not.
+pub const fn row(name: &'static str, faults: &'static [Fault], word: u64) -> Row {
     Row {
         name,
         faults,
@@ -22,7 +23,7 @@
 }
 
 /// The word for a probability of one in `calls`.
-const fn one_in(calls: u64) -> u64 {
+pub const fn one_in(calls: u64) -> u64 {
     CERTAIN / calls
 }
 
