Report no panic of the runtime that is contained

Change: contained panics (a start that is repeated, the end of a watch) are not reported; each has its reason where it is contained.

--- a/balancer/src/net/watched_descriptor.rs
+++ b/balancer/src/net/watched_descriptor.rs
@@ -1,9 +1,9 @@
 //! A descriptor that the loop watches for readiness.
+use crate::contained_panic::contain;
 use crate::net::socket_io::retry_interrupted;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::pin;
 use std::task::{ready, Context, Poll, Waker};
 use thiserror::Error;
@@ -21,7 +21,7 @@
     /// the watch has ended, and the loop, whose thread this is, need not be woken.
     fn drop(&mut self) {
         let watched = self.watched.take();
-        let _ = catch_unwind(AssertUnwindSafe(|| drop(watched)));
+        let _ = contain(|| drop(watched));
     }
 }
 
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -6,6 +6,7 @@
 };
 use crate::admin::server::{self, AdminOptions, AdminServer};
 use crate::clock::{from_millis, Clock};
+use crate::contained_panic;
 use crate::control::control_plane::{ControlPlane, ControlPlaneOptions};
 use crate::control::driver::DriverHandle;
 use crate::discovery::endpoints::EndpointUpdate;
@@ -49,6 +50,7 @@
 
 /// Runs the balancer until a signal shuts it down.
 pub fn main() -> ExitCode {
+    contained_panic::install_hook();
     let Err(error) = run_on_one_thread() else {
         return ExitCode::SUCCESS;
     };
--- a/balancer/src/process/runtime.rs
+++ b/balancer/src/process/runtime.rs
@@ -3,6 +3,7 @@
 //! It has one thread, and nothing wakes its loop from outside: the write that would do so ends the
 //! process if it fails. Timers and signals have descriptors of their own instead, which the loop
 //! watches.
+use crate::contained_panic::contain;
 use crate::net::retry_io::retry_io_blocking;
 use crate::time::timer_service::TimerService;
 use std::io;
@@ -25,6 +26,5 @@
             .enable_io()
             .build_local(LocalOptions::default())
     };
-    std::panic::catch_unwind(build)
-        .unwrap_or_else(|_| Err(io::Error::other("the runtime could not be built")))
+    contain(build).unwrap_or_else(|| Err(io::Error::other("the runtime could not be built")))
 }
