End no request for a copy that a rest has caught; take equal bytes for proof only when they are

Causes: each detection ended the requests in flight on used connections, also where the rest had caught the copy; after an early reuse the newest response may be a copy itself, so that equal bytes prove nothing; resting connections held the descriptors, and idle ones counted as usable before they were.

--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -110,7 +110,7 @@
 
     /// Closes an idle connection if an attempt to `upstream` needs a descriptor and none is free.
     fn free_descriptor_for(&self, upstream: &Upstream) {
-        if upstream.oldest_idle_since().is_none() && self.dispatch.sockets_exhausted() {
+        if self.dispatch.sockets_exhausted() && !upstream.has_usable_idle(Instant::now()) {
             self.endpoints.close_oldest_idle();
         }
     }
--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -232,6 +232,14 @@
         });
     }
 
+    /// Whether an idle connection may carry a request now.
+    pub fn has_usable_idle(&self, now: Instant) -> bool {
+        let reuse_delay = self.reuse_delay(now);
+        let is_usable =
+            |idle: &IdleConnection| idle.reusable_at(reuse_delay).is_some_and(|at| at <= now);
+        self.idle.borrow().iter().any(is_usable)
+    }
+
     /// Since when the longest idle connection is idle.
     pub fn oldest_idle_since(&self) -> Option<Instant> {
         self.idle.borrow().first().map(|idle| idle.idle_since)
--- a/balancer/src/outbound/connection_use.rs
+++ b/balancer/src/outbound/connection_use.rs
@@ -51,15 +51,15 @@
     /// got an earlier one's. What comes very late would have been taken for a response if the
     /// connection had been reused.
     ///
-    /// If it is the same as the newest response (`is_copy`), that response was the right one: the
-    /// request that got it would have got the same otherwise.
+    /// If it is the same as the newest response (`is_copy`), its lateness is known. That holds only if
+    /// the newest response was surely its request's: after early reuse it may be a copy itself.
     pub fn evidence_of_surplus(&self, is_copy: bool, now: Instant) -> SurplusEvidence {
         let lateness = self.lateness(now);
         let is_late = lateness > MAX_EXPECTED_LATENESS;
-        if is_copy && !is_late {
-            SurplusEvidence::Copy { lateness }
-        } else if is_late || self.has_been_reused_early.get() {
+        if is_late || self.has_been_reused_early.get() {
             SurplusEvidence::Unexplained
+        } else if is_copy && !self.awaits_response.get() {
+            SurplusEvidence::Copy { lateness }
         } else {
             SurplusEvidence::ExpectedCopy
         }
--- a/balancer/src/outbound/connection_use/tests.rs
+++ b/balancer/src/outbound/connection_use/tests.rs
@@ -84,8 +84,7 @@
 /// Guards against long rests where the bytes show that the newest response was the right one.
 #[test]
 fn the_same_response_again_is_a_copy_with_its_lateness() {
-    let early = MOMENT;
-    for rests in [&[][..], &[early], &[LONG_REST]] {
+    for rests in [&[][..], &[LONG_REST]] {
         let (connection, now) = used_connection(rests);
         for lateness in [Duration::ZERO, MOMENT, MAX_EXPECTED_LATENESS] {
             let evidence = connection.evidence_of_surplus(true, now + lateness);
@@ -96,3 +95,12 @@
         assert_eq!(evidence, SurplusEvidence::Unexplained, "{rests:?}");
     }
 }
+
+/// Guards against wrong responses again and again: after early reuse the newest response may itself
+/// be a copy of an earlier one, of which a further copy tells nothing.
+#[test]
+fn the_same_response_again_after_early_reuse_is_unexplained() {
+    let (connection, now) = used_connection(&[MOMENT]);
+    let evidence = connection.evidence_of_surplus(true, now + MOMENT);
+    assert_eq!(evidence, SurplusEvidence::Unexplained);
+}
--- a/balancer/src/outbound/connector.rs
+++ b/balancer/src/outbound/connector.rs
@@ -88,6 +88,12 @@
         self.sockets.is_exhausted()
     }
 
+    /// Whether a connection to this upstream may be kept until it has rested. Where sockets are short
+    /// and its surplus data demands a long rest, others need them sooner.
+    pub fn may_rest(&self, upstream: &Upstream) -> bool {
+        self.sockets.is_plentiful() || !upstream.surplus().requires_rest(Instant::now())
+    }
+
     /// Returns the first connection to the upstream that is available by `deadline`: an idle one,
     /// one that becomes idle, or a new one. A dial that loses or is too late continues, and its
     /// connection joins the pool.
--- a/balancer/src/outbound/reuse_lease.rs
+++ b/balancer/src/outbound/reuse_lease.rs
@@ -24,7 +24,7 @@
         ReuseLease {
             upstream: upstream.clone(),
             carried_earlier_request: connection.connection_use().carries_later_request(),
-            known_detections: upstream.surplus().detections(),
+            known_detections: upstream.surplus().uncovered_detections(),
         }
     }
 
@@ -36,7 +36,7 @@
     /// Whether the response on this connection must not be used.
     pub fn is_revoked(&self) -> bool {
         self.carried_earlier_request
-            && self.upstream.surplus().detections() != self.known_detections
+            && self.upstream.surplus().uncovered_detections() != self.known_detections
     }
 
     /// Returns once the response on this connection must not be used.
--- a/balancer/src/outbound/surplus_history.rs
+++ b/balancer/src/outbound/surplus_history.rs
@@ -78,8 +78,9 @@
     /// Time between a response and the next request on its connection, as far as surplus data
     /// demands one.
     rest: Cell<Duration>,
-    /// How often surplus data was detected.
-    detections: Cell<u64>,
+    /// How often surplus data was detected that the rest of its connection did not cover, so that
+    /// requests in flight on other connections may get it.
+    uncovered_detections: Cell<u64>,
     /// How often a connection was reused after a rest in which no surplus data arrived.
     reuses: Cell<u32>,
     /// Notifies the requests in flight of a detection.
@@ -92,7 +93,7 @@
             suspect: GrowingPeriod::new(FIRST_SUSPECT_PERIOD, MAX_SUSPECT_PERIOD),
             single_use: GrowingPeriod::new(FIRST_SINGLE_USE_PERIOD, MAX_SINGLE_USE_PERIOD),
             rest: Cell::default(),
-            detections: Cell::default(),
+            uncovered_detections: Cell::default(),
             reuses: Cell::default(),
             detected: Notify::default(),
         }
@@ -145,6 +146,7 @@
     /// Records that surplus data was detected. Returns the period for which the upstream is
     /// suspect, if it begins now; a period that has begun is extended.
     pub fn record(&self, evidence: SurplusEvidence, now: Instant) -> Option<Duration> {
+        let is_covered = self.is_covered_by_rest(evidence, now);
         if !self.requires_rest(now) {
             self.suspect.reset();
             self.single_use.reset();
@@ -156,8 +158,11 @@
             self.single_use.record_fault(now);
         }
         self.reuses.set(0);
-        self.detections.set(self.detections.get().wrapping_add(1));
-        self.detected.notify_waiters();
+        if !is_covered {
+            self.uncovered_detections
+                .set(self.uncovered_detections.get().wrapping_add(1));
+            self.detected.notify_waiters();
+        }
         suspect_period
     }
 
@@ -166,16 +171,16 @@
         self.single_use.record_clean(now);
     }
 
-    /// How often surplus data was detected.
-    pub fn detections(&self) -> u64 {
-        self.detections.get()
+    /// How often surplus data was detected that rests did not cover.
+    pub fn uncovered_detections(&self) -> u64 {
+        self.uncovered_detections.get()
     }
 
-    /// Returns once surplus data has been detected more often than `known` times.
+    /// Returns once such data has been detected more often than `known` times.
     pub async fn detected_since(&self, known: u64) {
         loop {
             let detected = self.detected.notified();
-            if self.detections() != known {
+            if self.uncovered_detections() != known {
                 return;
             }
             detected.await;
--- a/balancer/src/outbound/surplus_history/tests.rs
+++ b/balancer/src/outbound/surplus_history/tests.rs
@@ -31,7 +31,26 @@
     assert_eq!(history.record(evidence, again), None);
     assert!(history.is_suspect(again + FIRST_SUSPECT_PERIOD - MOMENT));
     assert!(!history.is_suspect(again + FIRST_SUSPECT_PERIOD));
-    assert_eq!(history.detections(), 2);
+}
+
+/// Guards against failing requests in flight on rested connections at each copy that the rest has
+/// caught: one response in ten sent twice made a quarter of the requests fail.
+#[test]
+fn surplus_data_that_the_rest_covers_concerns_no_request_in_flight() {
+    let history = SurplusHistory::default();
+    let now = Instant::now();
+    let mut expected = 0;
+    for (evidence, is_covered) in [
+        (SurplusEvidence::ExpectedCopy, false),
+        (SurplusEvidence::ExpectedCopy, true),
+        (SurplusEvidence::Copy { lateness: MOMENT }, true),
+        (SurplusEvidence::Unexplained, false),
+        (SurplusEvidence::ExpectedCopy, true),
+    ] {
+        history.record(evidence, now);
+        expected += u64::from(!is_covered);
+        assert_eq!(history.uncovered_detections(), expected, "{evidence:?}");
+    }
 }
 
 /// Guards against a second wrong response after a period: data that is up to a second late shows
--- a/balancer/src/outbound/surplus_reporter/tests.rs
+++ b/balancer/src/outbound/surplus_reporter/tests.rs
@@ -54,7 +54,7 @@
     sleep(ARRIVAL_TIME).await;
     next(&mut peer);
     sleep(ARRIVAL_TIME).await;
-    upstream.surplus().detections()
+    upstream.surplus().uncovered_detections()
 }
 
 #[tokio::test]
