--- a/review/stand-ins/lab.rs
+++ b/review/stand-ins/lab.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -244,8 +244,22 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-pub fn free_address() -> SocketAddr {
-    loopback().local_addr().expect("address")
+/// Two free ports at a loopback address that only this process uses, so that no stand-in can get them before the balancer
+/// listens.
+fn own_addresses() -> (SocketAddr, SocketAddr) {
+    let pid = std::process::id();
+    let host: IpAddr = [
+        127,
+        64 + (pid >> 16) as u8 % 64,
+        (pid >> 8) as u8,
+        pid as u8,
+    ]
+    .into();
+    let listeners = [0; 2].map(|_| TcpListener::bind((host, 0)).expect("a free port"));
+    let [one, other] = listeners
+        .each_ref()
+        .map(|listener| listener.local_addr().expect("address"));
+    (one, other)
 }
 
 pub fn server_entry(id: &str, address: SocketAddr, state: &str) -> String {
@@ -327,8 +341,7 @@
 }
 
 impl Balancer {
-    /// Starts it and waits until its readiness check says yes. Other programs may take a free port before it does, so that
-    /// a start is tried three times.
+    /// Starts it and waits until its readiness check says yes. A start is tried three times.
     pub fn start(servers: &[String], settings: &str, record: &Record) -> Balancer {
         Balancer::start_with_limits(
             servers,
@@ -367,13 +380,10 @@
         let Some(run) = run else {
             record.end(COULD_NOT_RUN, "no run command in deploy/balancer.toml")
         };
-        let directory = std::env::temp_dir().join(format!(
-            "review-{}-{:?}",
-            std::process::id(),
-            free_address().port()
-        ));
+        let (address, admin) = own_addresses();
+        let directory =
+            std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), address.port()));
         let _ = fs::create_dir_all(&directory);
-        let (address, admin) = (free_address(), free_address());
         let discovery = start_discovery(servers.to_vec());
         let config = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","ops":"{admin}","seed":"8c1f30d27a5be964",
