Count a large request's time from the client's last byte, read or not

With an upstream that reads slowly the response came as late as it liked, and with one that hangs after an early head never.

Cause: the deadline was set when the balancer had read the last byte. It reads a body only as fast as the upstream takes it, so that byte waits in a socket's buffer. The one limit until then was a stall of 10 s in the attempt, up to the head of the response. Evidence: debug log of the case, one attempt per lost request, ended by the stall after 11.0 s.

Change: RequestEnd bounds when the client wrote its last byte: a read found the socket empty, or more is missing than a client's send buffer holds. The driver's timer ends attempts with an incomplete body too, and is set again while client or upstream make progress. A request that ends so has not run; its buffered body is not sent again, the client gets 503. Peer moves to a file of its own.

--- a/balancer/src/body/request_body.rs
+++ b/balancer/src/body/request_body.rs
@@ -22,17 +22,6 @@
 }
 
 impl RequestBody {
-    /// Waits until no attempt has read available data for [`BODY_STALL_TIMEOUT`]. A buffered body
-    /// never stalls.
-    ///
-    /// [`BODY_STALL_TIMEOUT`]: crate::body::limits::BODY_STALL_TIMEOUT
-    pub async fn stalled(&self) {
-        match self {
-            RequestBody::Buffered(_) => std::future::pending().await,
-            RequestBody::Streamed(upload) => upload.stalled().await,
-        }
-    }
-
     /// The client's failure to send the body, if there was one.
     pub fn error(&self) -> Option<BodyError> {
         match self {
--- a/balancer/src/body/time_limited_body.rs
+++ b/balancer/src/body/time_limited_body.rs
@@ -53,11 +53,6 @@
         self.bytes_received
     }
 
-    /// Whether the last read waits for the client.
-    pub fn is_waiting(&self) -> bool {
-        self.current_wait.is_some()
-    }
-
     /// The next data of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         poll_fn(|cx| self.poll_next(cx)).await
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -1,8 +1,8 @@
 //! A large request body that is forwarded to an upstream while the client still sends it.
 use crate::body::body_error::BodyError;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BUFFERED_BODY_BYTES};
+use crate::body::request_end::{ClientState, RequestEnd};
 use crate::body::time_limited_body::TimeLimitedBody;
-use crate::time::sleep;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -10,9 +10,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Interval between two checks for a stalled body.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Receives notifications about the body of a pending request.
 pub trait UploadObserver {
     /// The body has arrived completely.
@@ -30,6 +27,8 @@
     length: Option<u64>,
     observer: RefCell<Option<Box<dyn UploadObserver>>>,
     error: Cell<Option<BodyError>>,
+    /// When the client wrote the last byte.
+    end: RequestEnd,
     /// When an attempt last polled for data.
     last_polled_at: Cell<Instant>,
 }
@@ -74,8 +73,9 @@
 }
 
 impl Upload {
-    /// An upload whose chunks `buffered` have arrived; `body` is the rest.
-    pub fn new(body: TimeLimitedBody, buffered: Vec<Bytes>) -> Rc<Upload> {
+    /// An upload whose chunks `buffered` have been read; `body` is the rest, and `end` the end of
+    /// its request.
+    pub fn new(body: TimeLimitedBody, buffered: Vec<Bytes>, end: RequestEnd) -> Rc<Upload> {
         let buffered_bytes: u64 = buffered.iter().map(|chunk| chunk.len() as u64).sum();
         let length = body
             .remaining_length()
@@ -89,6 +89,7 @@
             length,
             observer: RefCell::default(),
             error: Cell::new(None),
+            end,
             last_polled_at: Cell::new(Instant::now()),
         })
     }
@@ -125,17 +126,34 @@
         state.is_complete && position >= buffered_chunks
     }
 
-    /// Returns once no attempt has polled for data for [`BODY_STALL_TIMEOUT`], although the upload
-    /// does not wait for the client.
-    pub async fn stalled(&self) {
-        loop {
-            sleep(STALL_CHECK_INTERVAL).await;
-            let state = self.state.borrow();
-            let is_readable = !state.is_complete && !state.body.is_waiting();
-            if is_readable && self.last_polled_at.get().elapsed() >= BODY_STALL_TIMEOUT {
-                return;
+    /// The client wrote the last byte at this time or later.
+    pub fn earliest_end(&self) -> Instant {
+        self.update_end();
+        self.end.earliest()
+    }
+
+    /// When the request expires unless its client or its upstream makes progress until then. The
+    /// client waits `response_timeout` after its last byte.
+    pub fn expires_at(&self, response_timeout: Duration) -> Instant {
+        match self.update_end() {
+            Some(ClientState::Sending) => {
+                // The client's time has not begun. The limit guards against upstreams that never
+                // read on.
+                self.last_polled_at.get() + response_timeout.max(BODY_STALL_TIMEOUT)
             }
+            Some(ClientState::Awaited | ClientState::MayHaveSentAll) | None => {
+                self.end.earliest() + response_timeout
+            }
+        }
+    }
+
+    /// Updates the end of the request, as long as the body is incomplete.
+    fn update_end(&self) -> Option<ClientState> {
+        let state = self.state.borrow();
+        if state.is_complete {
+            return None;
         }
+        Some(self.end.update(state.body.bytes_received(), self.length))
     }
 
     /// Polls for the chunk after the first `position` ones, and advances `position`.
@@ -145,6 +163,7 @@
         position: &mut usize,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         self.last_polled_at.set(Instant::now());
+        self.update_end();
         let mut state = self.state.borrow_mut();
         let buffered_chunk = state
             .buffered
--- a/balancer/src/control/attempts.rs
+++ b/balancer/src/control/attempts.rs
@@ -21,11 +21,12 @@
 }
 
 impl Attempt {
-    /// An attempt whose request's body is still incomplete: it has no timeout.
+    /// An attempt whose request's body is still incomplete.
     pub fn with_incomplete_body(
         upstream: UpstreamId,
         started_at: Instant,
         task: AbortHandle,
+        timeout: TimerId,
     ) -> Attempt {
         Attempt {
             upstream,
@@ -33,7 +34,7 @@
             sent_at: None,
             response_started_after: None,
             task,
-            timeout: None,
+            timeout: Some(timeout),
         }
     }
 
@@ -46,8 +47,7 @@
     ) -> Attempt {
         Attempt {
             sent_at: Some(started_at),
-            timeout: Some(timeout),
-            ..Attempt::with_incomplete_body(upstream, started_at, task)
+            ..Attempt::with_incomplete_body(upstream, started_at, task, timeout)
         }
     }
 
@@ -66,10 +66,14 @@
         self.response_started_after.is_some()
     }
 
-    /// Records that the body of the request is complete: the attempt has a timeout from now on.
-    pub fn record_body_complete(&mut self, now: Instant, timeout: TimerId) {
+    /// Records that the body of the request is complete.
+    pub fn record_body_complete(&mut self, now: Instant) {
         self.sent_at = Some(now);
-        self.timeout = Some(timeout);
+    }
+
+    /// Sets the timer of the attempt's timeout. Returns the one that it replaces.
+    pub fn replace_timeout(&mut self, timeout: TimerId) -> Option<TimerId> {
+        self.timeout.replace(timeout)
     }
 
     /// Records that the connection is ready. Time to connect must not count as the upstream's response time: on a
--- a/balancer/src/control/driver/event_loop.rs
+++ b/balancer/src/control/driver/event_loop.rs
@@ -1,7 +1,7 @@
 //! Passes events to the core and carries out its actions.
 use super::DriverHandle;
 use crate::control::attempt_id::AttemptId;
-use crate::control::driver_state::attempt_lifecycle::PreparedAttempt;
+use crate::control::driver_state::attempt_lifecycle::{PreparedAttempt, TimeoutResolution};
 use crate::control::driver_state::DriverState;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::FinalResponse;
@@ -33,9 +33,7 @@
         };
         match event {
             TimerEvent::CoreTimer(token) => self.handle_event(Event::Timer(token)),
-            TimerEvent::AttemptTimeout(id) => {
-                self.attempt_ended(id, AttemptOutcome::Timeout, None);
-            }
+            TimerEvent::AttemptTimeout(id) => self.attempt_timed_out(id),
             TimerEvent::IdleConnectionCheck => {
                 let mut state = self.0.state.borrow_mut();
                 state.close_expired_connections();
@@ -44,6 +42,21 @@
         }
     }
 
+    fn attempt_timed_out(&self, id: AttemptId) {
+        let resolution = self.0.state.borrow_mut().resolve_timeout(id);
+        match resolution {
+            TimeoutResolution::ResponseOverdue => {
+                self.attempt_ended(id, AttemptOutcome::Timeout, None);
+            }
+            TimeoutResolution::UploadOverdue => {
+                // The client's time is over, so no other attempt may send the body.
+                self.handle_event(Event::BodyDiscarded(id.request));
+                self.attempt_ended(id, AttemptOutcome::ConnectFailed, None);
+            }
+            TimeoutResolution::Postponed => {}
+        }
+    }
+
     /// Passes an event to the core and carries out the actions that the core requests. Does the same for each event
     /// that these actions cause.
     pub(super) fn handle_event(&self, event: Event) {
--- a/balancer/src/control/driver_state.rs
+++ b/balancer/src/control/driver_state.rs
@@ -1,7 +1,7 @@
 //! The driver's state: the core, the pending requests, the attempts in flight, the timers and the endpoints.
 //!
 //! Each method keeps these tables consistent with one another. None of them makes a decision.
-use crate::clock::Clock;
+use crate::clock::{to_millis, Clock};
 use crate::control::attempts::Attempts;
 use crate::control::driver_options::DriverOptions;
 use crate::control::pending_requests::PendingRequests;
@@ -12,6 +12,7 @@
 use crate::telemetry::log::LogOutput;
 use balancer_core::{Action, Balancer, Event, Idempotency, Millis};
 use std::collections::VecDeque;
+use tokio::time::Instant;
 
 pub mod attempt_lifecycle;
 mod endpoints;
@@ -27,8 +28,8 @@
     guard: Guard,
     idempotency_by_class: Vec<Idempotency>,
     rejects_after_start: bool,
-    /// Upper limit of the deadlines that are set from now on; infinite until shutdown begins.
-    latest_deadline: Millis,
+    /// Upper limit of the deadlines that are set from now on; `None` until shutdown begins.
+    latest_deadline: Option<Instant>,
     pending: PendingRequests,
     attempts: Attempts,
     endpoints: EndpointTable,
@@ -48,7 +49,7 @@
             guard: options.guard,
             idempotency_by_class: options.idempotency_by_class,
             rejects_after_start: options.rejects_after_start,
-            latest_deadline: f64::INFINITY,
+            latest_deadline: None,
             pending: PendingRequests::new(options.max_pending_requests),
             attempts: Attempts::default(),
             endpoints: EndpointTable::new(options.drain_grace),
@@ -62,6 +63,14 @@
         self.clock.now()
     }
 
+    /// A point in time as the core counts it.
+    fn core_time(&self, at: Instant) -> Millis {
+        let now = Instant::now();
+        let until = to_millis(at.saturating_duration_since(now));
+        let since = to_millis(now.saturating_duration_since(at));
+        self.now() + until - since
+    }
+
     /// Adds an event to those that the core has not handled yet.
     pub fn push_event(&mut self, event: Event) {
         self.events.push_back(event);
--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -1,6 +1,6 @@
 //! Starts and ends attempts, and keeps the driver's tables up to date meanwhile.
 use super::DriverState;
-use crate::clock::{from_millis, to_millis};
+use crate::clock::to_millis;
 use crate::control::attempt_id::AttemptId;
 use crate::control::attempts::Attempt;
 use crate::control::timers::TimerEvent;
@@ -26,12 +26,23 @@
     pub request: Rc<OutboundRequest>,
     /// When it starts.
     pub started_at: Instant,
-    /// When it times out. No timer is set for this time while the request's body is incomplete.
+    /// When it times out. While the request's body is incomplete, progress postpones this.
     pub deadline: Instant,
     /// Whether the request's body is complete.
     pub is_body_complete: bool,
 }
 
+/// What the timeout of an attempt means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TimeoutResolution {
+    /// The upstream has not responded in time.
+    ResponseOverdue,
+    /// The upstream has not taken the whole request in time, so it has not run the request.
+    UploadOverdue,
+    /// The request's body has made progress. The timer is set again.
+    Postponed,
+}
+
 impl DriverState {
     /// Prepares an attempt that the core wants started. A `timeout_ms` of zero means that the attempt has no limit
     /// besides the client's timeout. If the attempt cannot start, queues the events that report this to the core, and
@@ -43,21 +54,20 @@
         timeout_ms: Millis,
     ) -> Option<PreparedAttempt> {
         let started_at = Instant::now();
-        let now = self.now();
         let id = self.record_attempt_start(request)?;
         let Some(upstream) = self.attempt_upstream(request, upstream_id) else {
             self.attempt_not_sent(id, started_at);
             return None;
         };
         let pending = self.pending.get(request)?;
-        let timeout_ms = pending.attempt_timeout_ms(timeout_ms, now);
+        let deadline = pending.attempt_deadline(timeout_ms, started_at);
         let prepared = PreparedAttempt {
             id,
             upstream_id,
             upstream,
             request: pending.request().clone(),
             started_at,
-            deadline: started_at + from_millis(timeout_ms),
+            deadline,
             is_body_complete: pending.is_body_complete(),
         };
         tracing::debug!(
@@ -65,7 +75,7 @@
             id = %prepared.request.label(),
             attempt = id.number,
             upstream = %prepared.upstream.address(),
-            wait_ms = timeout_ms,
+            wait_ms = to_millis(deadline - started_at),
             "attempt started"
         );
         self.free_descriptor_for(&prepared.upstream);
@@ -129,17 +139,36 @@
             started_at,
             ..
         } = prepared;
+        let timeout = self
+            .timers
+            .set(prepared.deadline, TimerEvent::AttemptTimeout(id));
         let attempt = if prepared.is_body_complete {
-            let timeout = self
-                .timers
-                .set(prepared.deadline, TimerEvent::AttemptTimeout(id));
             Attempt::with_complete_body(upstream_id, started_at, task, timeout)
         } else {
-            Attempt::with_incomplete_body(upstream_id, started_at, task)
+            Attempt::with_incomplete_body(upstream_id, started_at, task, timeout)
         };
         self.attempts.insert(id, attempt);
     }
 
+    /// Resolves the timeout of an attempt, whose timer has fired.
+    pub fn resolve_timeout(&mut self, id: AttemptId) -> TimeoutResolution {
+        let Some(pending) = self.pending.get(id.request) else {
+            return TimeoutResolution::ResponseOverdue;
+        };
+        if pending.is_body_complete() {
+            return TimeoutResolution::ResponseOverdue;
+        }
+        let expires_at = pending.expires_at();
+        if expires_at <= Instant::now() {
+            return TimeoutResolution::UploadOverdue;
+        }
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            let timeout = self.timers.set(expires_at, TimerEvent::AttemptTimeout(id));
+            attempt.replace_timeout(timeout);
+        }
+        TimeoutResolution::Postponed
+    }
+
     /// An attempt has a connection to write to.
     pub fn attempt_connected(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(id) {
--- a/balancer/src/control/driver_state/requests.rs
+++ b/balancer/src/control/driver_state/requests.rs
@@ -47,27 +47,23 @@
             .get(new.class)
             .copied()
             .unwrap_or(Idempotency::NonIdempotent);
-        let response_timeout = (new.client_timeout - RESPONSE_DELIVERY_MARGIN_MS).max(0.0);
-        let deadline = if matches!(new.request.body, RequestBody::Buffered(_)) {
-            (self.now() + response_timeout).min(self.latest_deadline)
+        let response_timeout = from_millis(new.client_timeout - RESPONSE_DELIVERY_MARGIN_MS);
+        let is_body_complete = matches!(new.request.body, RequestBody::Buffered(_));
+        let (response_sender, response) = oneshot::channel();
+        let mut pending =
+            PendingRequest::new(response_sender, new.request, response_timeout, idempotency);
+        let deadline = if is_body_complete {
+            self.core_time(pending.record_body_complete(self.latest_deadline))
         } else {
             f64::INFINITY
         };
-        let (response_sender, response) = oneshot::channel();
-        let pending = PendingRequest::new(
-            response_sender,
-            new.request,
-            response_timeout,
-            deadline,
-            idempotency,
-        );
         let request = pending.request().clone();
         let id = self.pending.insert(pending)?;
         tracing::debug!(
             request = id.0,
             class = new.class,
             tenant = new.tenant,
-            client_timeout_ms = response_timeout,
+            client_timeout_ms = to_millis(response_timeout),
             "request accepted"
         );
         Ok(SubmittedRequest {
@@ -85,7 +81,7 @@
 
     /// Limits the deadlines of all requests whose body is completed from now on. None is later than `within` from now.
     pub fn limit_deadlines(&mut self, within: Duration) {
-        self.latest_deadline = self.now() + to_millis(within);
+        self.latest_deadline = Some(Instant::now() + within);
     }
 
     /// Fails each request without a final response. Returns the ids of the failed requests.
@@ -101,21 +97,21 @@
     /// The body of a request is complete. Sets its deadline and the timeout of its attempt in flight. Returns the
     /// deadline; `None` if the request is no longer pending.
     pub fn request_body_complete(&mut self, request: RequestId) -> Option<Millis> {
-        let now = self.now();
         let pending = self.pending.get_mut(request)?;
-        let deadline = pending.record_body_complete(now, self.latest_deadline);
+        let deadline = pending.record_body_complete(self.latest_deadline);
         // The latest attempt. If none was started, no attempt has the number that results.
         let number = pending.attempt_count().wrapping_sub(1);
         let id = AttemptId { request, number };
-        let completed_at = Instant::now();
         if let Some(attempt) = self.attempts.get_mut(id) {
             if !attempt.has_response_started() {
-                let timeout_at = completed_at + from_millis(deadline - now);
-                let timeout = self.timers.set(timeout_at, TimerEvent::AttemptTimeout(id));
-                attempt.record_body_complete(completed_at, timeout);
+                attempt.record_body_complete(Instant::now());
+                let timeout = self.timers.set(deadline, TimerEvent::AttemptTimeout(id));
+                if let Some(replaced) = attempt.replace_timeout(timeout) {
+                    self.timers.cancel(replaced);
+                }
             }
         }
-        Some(deadline)
+        Some(self.core_time(deadline))
     }
 
     /// The client has disconnected. Returns whether its request still waited for a response.
@@ -134,12 +130,11 @@
 
     /// Answers a request as the core requested. The guard may replace a rejection by a failure.
     pub fn respond(&mut self, id: RequestId, response: FinalResponse) {
-        let now = self.now();
         tracing::debug!(request = id.0, answer = ?response, "request answered");
         let Some(pending) = self.pending.get_mut(id) else {
             return;
         };
-        let response = pending.check_response(response, now, &self.guard);
+        let response = pending.check_response(response, &self.guard);
         // A client that disconnected at the same moment gets no response.
         let _ = pending.respond(response);
         self.remove_if_finished(id);
--- a/balancer/src/control/pending_requests.rs
+++ b/balancer/src/control/pending_requests.rs
@@ -1,4 +1,6 @@
 //! The requests that wait for their final response or still have an attempt in flight.
+use crate::body::request_body::RequestBody;
+use crate::clock::{from_millis, to_millis};
 use crate::invariants::{AttemptHistory, Guard};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::telemetry::guard_counts::Rule;
@@ -6,6 +8,7 @@
 use hyper::header::HeaderValue;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -25,11 +28,9 @@
     /// `None` once the final response is given or the client has disconnected.
     response_sender: Option<oneshot::Sender<FinalResponse>>,
     request: Rc<OutboundRequest>,
-    /// How long the final response may take after the end of the request, in milliseconds: the client's timeout less
-    /// the time to deliver the response.
-    response_timeout: Millis,
-    /// When the final response must be given; infinite while the request's body is incomplete.
-    deadline: Millis,
+    /// How long the final response may take after the end of the request: the client's timeout less the time to
+    /// deliver the response.
+    response_timeout: Duration,
     history: AttemptHistory,
     /// Whether a response is being relayed to the client.
     is_relaying_response: bool,
@@ -40,15 +41,13 @@
     pub fn new(
         response_sender: oneshot::Sender<FinalResponse>,
         request: OutboundRequest,
-        response_timeout: Millis,
-        deadline: Millis,
+        response_timeout: Duration,
         idempotency: Idempotency,
     ) -> PendingRequest {
         PendingRequest {
             response_sender: Some(response_sender),
             request: Rc::new(request),
             response_timeout,
-            deadline,
             history: AttemptHistory::new(idempotency),
             is_relaying_response: false,
         }
@@ -66,7 +65,7 @@
 
     /// Whether its body is complete.
     pub fn is_body_complete(&self) -> bool {
-        self.deadline.is_finite()
+        self.request.deadline.get().is_some()
     }
 
     /// Whether its body is complete, and its client waits for the response or is still receiving it.
@@ -74,25 +73,38 @@
         self.is_body_complete() && (!self.has_ended() || self.is_relaying_response)
     }
 
-    /// How long an attempt may take from now on. A `limit_ms` of zero means no limit besides the client's timeout.
-    pub fn attempt_timeout_ms(&self, limit_ms: Millis, now: Millis) -> Millis {
-        let remaining_ms = if self.is_body_complete() {
-            (self.deadline - now).max(0.0)
+    /// When the request expires. While its body is incomplete, progress of its client or its upstream postpones this.
+    pub fn expires_at(&self) -> Instant {
+        match (self.request.deadline.get(), &self.request.body) {
+            (Some(deadline), _) => deadline,
+            (None, RequestBody::Streamed(upload)) => upload.expires_at(self.response_timeout),
+            (None, RequestBody::Buffered(_)) => Instant::now() + self.response_timeout,
+        }
+    }
+
+    /// When an attempt that starts now times out: when the request expires, or after `limit_ms` if that is not zero.
+    /// The upstream is told the time until then, so it is never more than the client waits after its last byte.
+    pub fn attempt_deadline(&self, limit_ms: Millis, now: Instant) -> Instant {
+        let limit = if limit_ms > 0.0 {
+            from_millis(limit_ms).min(self.response_timeout)
         } else {
             self.response_timeout
         };
-        if limit_ms > 0.0 {
-            limit_ms.min(remaining_ms)
-        } else {
-            remaining_ms
-        }
+        self.expires_at().clamp(now, now + limit)
     }
 
-    /// Records that the body is complete. The response timeout starts; `latest_deadline` limits the deadline, which is
-    /// returned.
-    pub fn record_body_complete(&mut self, now: Millis, latest_deadline: Millis) -> Millis {
-        self.deadline = (now + self.response_timeout).min(latest_deadline);
-        self.deadline
+    /// Records that the body is complete: the client waits for the response since it wrote its last byte, and not
+    /// beyond `latest_deadline`. Returns the deadline.
+    pub fn record_body_complete(&mut self, latest_deadline: Option<Instant>) -> Instant {
+        let sent_at = match &self.request.body {
+            RequestBody::Streamed(upload) => upload.earliest_end(),
+            RequestBody::Buffered(_) => Instant::now(),
+        };
+        let response_due_at = sent_at + self.response_timeout;
+        let deadline =
+            latest_deadline.map_or(response_due_at, |latest| response_due_at.min(latest));
+        self.request.deadline.set(Some(deadline));
+        deadline
     }
 
     /// How many attempts were started.
@@ -110,19 +122,14 @@
         self.history.attempt_ended(started_at, never_ran);
     }
 
-    /// Checks a response that the core requests at `now`. Returns the response to give: this one, or a failure if the
-    /// guard denies a rejection.
-    pub fn check_response(
-        &self,
-        response: FinalResponse,
-        now: Millis,
-        guard: &Guard,
-    ) -> FinalResponse {
+    /// Checks a response that the core requests. Returns the response to give: this one, or a failure if the guard
+    /// denies a rejection.
+    pub fn check_response(&self, response: FinalResponse, guard: &Guard) -> FinalResponse {
         if self.has_ended() {
             return response;
         }
         let label = self.request.label();
-        guard.check_response_time(now - self.deadline, &label);
+        guard.check_response_time(to_millis(self.expires_at().elapsed()), &label);
         match response {
             FinalResponse::Rejected { .. } if !guard.check_rejection(&self.history, &label) => {
                 FinalResponse::Failed
--- a/balancer/src/hollow.rs
+++ b/balancer/src/hollow.rs
@@ -184,6 +184,7 @@
         target: Uri::default(),
         headers: HeaderMap::new(),
         body: RequestBody::Buffered(Bytes::new()),
+        deadline: Cell::new(None),
         ended: Cell::new(false),
         client: None,
     }
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -3,6 +3,7 @@
 use crate::body::body_error::BodyError;
 use crate::body::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::request_body::RequestBody;
+use crate::body::request_end::RequestEnd;
 use crate::body::time_limited_body::TimeLimitedBody;
 use crate::body::upload::Upload;
 use crate::clock::to_millis;
@@ -14,7 +15,7 @@
 use crate::inbound::responses::{
     client_response, empty_response, input_error_response, rejection, ClientResponse,
 };
-use crate::net::shared_stream::Peer;
+use crate::net::peer::Peer;
 use crate::outbound::headers::{remove_hop_by_hop_headers, DEADLINE_HEADER};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::phase::Phase;
@@ -27,8 +28,8 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// `Retry-After` of a rejection because of too many pending requests, in milliseconds.
 const AT_CAPACITY_RETRY_AFTER_MS: Millis = 500.0;
@@ -108,8 +109,8 @@
 ) -> Response {
     let connection = active.connection().clone();
     // The request may have waited behind another one on its connection, or in the listener's queue.
-    let queued_for = connection.tracker().record_dispatch().elapsed();
-    let routed = route(context, request, active, queued_for).await;
+    let head_arrived_at = connection.tracker().record_dispatch();
+    let routed = route(context, request, active, head_arrived_at).await;
     finish_response(context, &connection, routed)
 }
 
@@ -117,7 +118,7 @@
     context: &ServerContext,
     request: Request<Incoming>,
     active: ActiveRequestGuard,
-    queued_for: Duration,
+    head_arrived_at: Instant,
 ) -> RoutedResponse {
     // Guards against request smuggling: no further request is read from the connection after a head
     // with ambiguous framing, nor after a chunked body, whose end the tracker does not determine.
@@ -133,7 +134,7 @@
     let mut routed = match request.uri().path() {
         READY_PATH => empty_response(readiness_status(context)).into(),
         path if path == SERVICE_PATH || path.starts_with(SERVICE_PREFIX) => {
-            serve(context, request, active, queued_for).await
+            serve(context, request, active, head_arrived_at).await
         }
         _ => empty_response(StatusCode::NOT_FOUND).into(),
     };
@@ -157,10 +158,10 @@
     context: &ServerContext,
     request: Request<Incoming>,
     active: ActiveRequestGuard,
-    queued_for: Duration,
+    head_arrived_at: Instant,
 ) -> RoutedResponse {
     let connection = active.connection().clone();
-    let submitted = match submit(context, request, &connection, queued_for).await {
+    let submitted = match submit(context, request, &connection, head_arrived_at).await {
         Ok(submitted) => submitted,
         Err(error) => return error.response().into(),
     };
@@ -220,14 +221,20 @@
     context: &ServerContext,
     request: Request<Incoming>,
     connection: &ClientConnection,
-    queued_for: Duration,
+    head_arrived_at: Instant,
 ) -> Result<SubmittedRequest, RequestError> {
     let time_waited = connection.tracker().waiting_since().elapsed();
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.method, &parts.headers, &context.deployment)?;
-    let client_timeout_ms = (head.client_timeout_ms - to_millis(queued_for)).max(0.0);
+    let queued_for = head_arrived_at.elapsed();
     check_body(&parts.method, &body)?;
-    let body = read_body(TimeLimitedBody::new(body, time_waited)).await?;
+    let end = RequestEnd::new(connection.stream().peer(), head_arrived_at);
+    let body = read_body(TimeLimitedBody::new(body, time_waited), end).await?;
+    // An upload counts the time since its request's end itself.
+    let client_timeout_ms = match &body {
+        RequestBody::Buffered(_) => (head.client_timeout_ms - to_millis(queued_for)).max(0.0),
+        RequestBody::Streamed(_) => head.client_timeout_ms,
+    };
     let upload = match &body {
         RequestBody::Streamed(upload) => Some(upload.clone()),
         RequestBody::Buffered(_) => None,
@@ -265,7 +272,7 @@
 
 /// Buffers a small body completely. Of a large one, only the start is read; an upload reads the
 /// rest.
-async fn read_body(mut body: TimeLimitedBody) -> Result<RequestBody, BodyError> {
+async fn read_body(mut body: TimeLimitedBody, end: RequestEnd) -> Result<RequestBody, BodyError> {
     let mut chunks: Vec<Bytes> = Vec::new();
     let mut length = 0;
     let mut is_large = body
@@ -280,7 +287,7 @@
         chunks.push(chunk);
         is_large = length > MAX_BUFFERED_BODY_BYTES;
     }
-    Ok(RequestBody::Streamed(Upload::new(body, chunks)))
+    Ok(RequestBody::Streamed(Upload::new(body, chunks, end)))
 }
 
 fn outbound_request(parts: request::Parts, body: RequestBody, client: Peer) -> OutboundRequest {
@@ -298,6 +305,7 @@
         target,
         headers,
         body,
+        deadline: Cell::new(None),
         ended: Cell::new(false),
         client: Some(client),
     }
--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -1,14 +1,15 @@
 //! A TCP stream that can be inspected while hyper reads and writes it: how far a message is
 //! written, whether the peer has disconnected, and since when bytes are unread.
+use crate::net::input_activity::InputActivity;
+use crate::net::peer::{peek_byte, peer_disconnected, unread_state, Peer, UnreadState};
 use crate::net::received_bytes::{ReceivedBytes, MAX_RECORDED_BYTES};
 use crate::net::socket_io;
 use crate::net::tcp_stream::TcpStream;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -28,17 +29,6 @@
     Complete,
 }
 
-/// Whether a socket has unread bytes, or its connection has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UnreadState {
-    /// The connection is open, and no bytes are unread.
-    Nothing,
-    /// Bytes are unread.
-    Bytes,
-    /// The connection has ended.
-    Closed,
-}
-
 /// Decides whether the next message may be written. Called once, before the first write of that
 /// message is tried.
 pub type WriteCheck = Box<dyn FnOnce() -> bool>;
@@ -58,44 +48,12 @@
     /// Whether the runtime's record that this stream is readable was cleared although bytes may be
     /// unread. The next read then asks the kernel before it waits for the runtime.
     readiness_cleared: Rc<Cell<bool>>,
-    /// Since when bytes are known to be unread.
-    unread_since: Rc<Cell<Option<Instant>>>,
     write_check: Rc<RefCell<Option<WriteCheck>>>,
+    input_activity: Rc<InputActivity>,
     /// The bytes of the newest response, on a connection to an upstream only.
     received: Option<Rc<RefCell<ReceivedBytes>>>,
 }
 
-/// The peer of a shared stream. Does not keep the connection open.
-pub struct Peer(Weak<TcpStream>);
-
-impl Peer {
-    /// Whether the peer has disconnected, or the connection is closed here.
-    pub fn has_disconnected(&self) -> bool {
-        self.0
-            .upgrade()
-            .is_none_or(|stream| peer_disconnected(&stream))
-    }
-}
-
-/// Asks the kernel whether there is an unread byte, without reading it. Returns 0 at the end of the
-/// stream.
-fn peek_byte(stream: &TcpStream) -> io::Result<usize> {
-    socket_io::retry_interrupted(|| {
-        socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
-    })
-}
-
-/// Whether the peer has closed, reset or half-closed the connection, even if bytes before the end
-/// are unread.
-fn peer_disconnected(stream: &TcpStream) -> bool {
-    match peek_byte(stream) {
-        Ok(0) => true,
-        // The runtime learns of the end of the stream even if bytes before it are unread.
-        Ok(_) => stream.is_read_closed(),
-        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-    }
-}
-
 impl SharedStream {
     /// Wraps a stream. `messages_written` is incremented for each message that is written
     /// completely.
@@ -105,8 +63,8 @@
             write_progress: Rc::new(Cell::new(WriteProgress::Partial)),
             messages_written,
             readiness_cleared: Rc::default(),
-            unread_since: Rc::default(),
             write_check: Rc::default(),
+            input_activity: Rc::default(),
             received: None,
         }
     }
@@ -161,12 +119,7 @@
     /// Whether the socket has unread bytes or has ended. Asks the kernel, because the runtime
     /// learns of either only when it next polls.
     pub fn unread_state(&self) -> UnreadState {
-        match peek_byte(&self.stream) {
-            Ok(0) => UnreadState::Closed,
-            Ok(_) => UnreadState::Bytes,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnreadState::Nothing,
-            Err(_) => UnreadState::Closed,
-        }
+        unread_state(&self.stream)
     }
 
     /// Whether the socket is open and has no unread bytes.
@@ -182,7 +135,7 @@
 
     /// The peer.
     pub fn peer(&self) -> Peer {
-        Peer(Rc::downgrade(&self.stream))
+        Peer::new(&self.stream, self.input_activity.clone())
     }
 
     /// Sets the check for the next message: the message is written only if `check` returns true
@@ -209,18 +162,20 @@
     /// Records `since` as the arrival time of unread bytes, if there are any and no time is
     /// recorded yet: they arrived at `since` at the earliest.
     pub fn record_unread(&self, since: Instant) {
-        if self.unread_since.get().is_some() {
+        if self.input_activity.has_known_unread() {
             return;
         }
         if peek_byte(&self.stream).is_ok_and(|count| count > 0) {
-            self.unread_since.set(Some(since));
+            self.input_activity.record_unread(since);
         }
     }
 
     /// The arrival time of the bytes that were just read: the recorded time, which is cleared, or
     /// now.
     pub fn take_arrival_time(&self) -> Instant {
-        self.unread_since.take().unwrap_or_else(Instant::now)
+        self.input_activity
+            .take_unread_since()
+            .unwrap_or_else(Instant::now)
     }
 
     /// Waits until the peer has disconnected.
@@ -266,7 +221,13 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let result = self.poll_read_unrecorded(cx, buf);
-        self.record_received(&buf.filled()[filled..]);
+        let received = &buf.filled()[filled..];
+        match &result {
+            Poll::Pending => self.input_activity.record_empty(),
+            Poll::Ready(_) if !received.is_empty() => self.input_activity.record_bytes(),
+            Poll::Ready(_) => {}
+        }
+        self.record_received(received);
         result
     }
 }
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -148,10 +148,6 @@
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => sent,
-            // The upstream has stopped reading the body, so it has not run the request.
-            () = self.request.body.stalled() => {
-                return Err(AttemptOutcome::ConnectFailed.into());
-            }
             () = lease.revoked() => {
                 // A request whose last byte is unwritten has not run, and may use another
                 // connection.
--- a/balancer/src/outbound/connection_pool.rs
+++ b/balancer/src/outbound/connection_pool.rs
@@ -1,6 +1,7 @@
 //! One upstream and its pool of idle connections.
 use crate::body::request_body::AttemptBody;
-use crate::net::shared_stream::{SharedStream, UnreadState};
+use crate::net::peer::UnreadState;
+use crate::net::shared_stream::SharedStream;
 use crate::outbound::request_history::RequestHistory;
 use crate::outbound::surplus_history::{SurplusCause, SurplusHistory, LONG_REUSE_DELAY};
 use crate::outbound::surplus_reporter::{SurplusRecipient, SurplusReporter};
--- a/balancer/src/outbound/message.rs
+++ b/balancer/src/outbound/message.rs
@@ -2,13 +2,14 @@
 use crate::body::body_error::BodyError;
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::body::response_body::UpstreamResponseBody;
-use crate::net::shared_stream::Peer;
+use crate::net::peer::Peer;
 use balancer_core::Millis;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use std::borrow::Cow;
 use std::cell::Cell;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// A request to forward to upstreams.
 pub struct OutboundRequest {
@@ -22,6 +23,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: RequestBody,
+    /// When the final response must be given. `None` while the body is incomplete.
+    pub deadline: Cell<Option<Instant>>,
     /// Set when the request has its final response or its client has disconnected: it is not
     /// written to an upstream any more.
     pub ended: Cell<bool>,
--- a/balancer/src/test_support.rs
+++ b/balancer/src/test_support.rs
@@ -15,6 +15,7 @@
         target: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: RequestBody::Buffered(Bytes::new()),
+        deadline: Cell::new(None),
         ended: Cell::new(false),
         client: None,
     }
--- a/balancer/tests/common/raw_http.rs
+++ b/balancer/tests/common/raw_http.rs
@@ -38,13 +38,18 @@
     let _ = to.get_mut().write_all(bytes);
 }
 
+/// Reads the line before a chunk, with its size.
+pub fn read_chunk_size(from: &mut BufReader<TcpStream>) -> usize {
+    let mut line = String::new();
+    from.read_line(&mut line).expect("the size of a chunk");
+    usize::from_str_radix(line.trim_end(), 16).expect("the size of a chunk")
+}
+
 /// Reads a chunked body.
 pub fn read_chunks(from: &mut BufReader<TcpStream>) -> Vec<u8> {
     let mut body = Vec::new();
     loop {
-        let mut size = String::new();
-        from.read_line(&mut size).expect("the size of a chunk");
-        let size = usize::from_str_radix(size.trim_end(), 16).expect("the size of a chunk");
+        let size = read_chunk_size(from);
         body.extend(read_bytes(from, size));
         read_bytes(from, 2);
         if size == 0 {
