Relay small responses until the request's deadline, not the attempt's first one

Cause: the relay ended a response that may be small at the attempt's deadline, a copy made when the attempt started. For an upload that takes longer than the client's timeout that is in the past; it could be an early timeout too. Evidence: debug log of the case, all six attempts end as Timeout in the moment in which the relay starts, 3 s before the driver's timer.

Change: the relay reads the deadline of the request, which the driver sets when the body is complete, for each frame.

Two tests of the relay over virtual time are new.

--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -70,7 +70,8 @@
 }
 
 impl UpstreamBodyStream {
-    fn poll_chunk(
+    /// Polls for the next chunk.
+    pub fn poll_chunk(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, TruncatedResponse>>> {
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -309,8 +309,8 @@
             headers: head.headers,
             body: UpstreamResponseBody::Streamed(stream),
         });
-        let small_body_deadline = (!declares_large_body(declared_length)).then_some(self.deadline);
-        Relay::new(sender, body, small_body_deadline)
+        let declares_large_body = declares_large_body(declared_length);
+        Relay::new(sender, body, declares_large_body, self.request.clone())
     }
 
     async fn return_connection(&self, mut connection: Connection) {
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -2,12 +2,14 @@
 //! they arrive.
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
+use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::time::timeout_at;
 use balancer_core::AttemptOutcome;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -68,9 +70,11 @@
     body: Incoming,
     /// Bytes passed on so far.
     forwarded: u64,
-    /// When the body must have ended, unless more bytes have been forwarded than a small body may
-    /// have. Guards against responses that begin and never end.
-    small_body_deadline: Option<Instant>,
+    /// Whether the body declares a large length.
+    declares_large_body: bool,
+    /// The request. A body that may be a small one must end by the request's deadline, which guards
+    /// against responses that begin and never end.
+    request: Rc<OutboundRequest>,
 }
 
 /// When the next frame must have arrived, and the outcome of the attempt if it has not.
@@ -80,18 +84,19 @@
 }
 
 impl Relay {
-    /// Creates a relay from `body` to `sender`. As long as the body may be a small one, it must end
-    /// by `small_body_deadline`.
+    /// Creates a relay from `body`, the response to `request`, to `sender`.
     pub fn new(
         sender: UpstreamBodySender,
         body: Incoming,
-        small_body_deadline: Option<Instant>,
+        declares_large_body: bool,
+        request: Rc<OutboundRequest>,
     ) -> Relay {
         Relay {
             sender,
             body,
             forwarded: 0,
-            small_body_deadline,
+            declares_large_body,
+            request,
         }
     }
 
@@ -126,20 +131,25 @@
     }
 
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptOutcome> {
-        let deadline = self.frame_deadline();
-        let frame = timeout_at(deadline.at, self.body.frame())
-            .await
-            .map_err(|_| deadline.outcome)?;
-        frame
-            .transpose()
-            .map_err(|error| outcome_of_read_error(&error))
+        let stalled_at = Instant::now() + BODY_STALL_TIMEOUT;
+        loop {
+            let deadline = self.frame_deadline(stalled_at);
+            match timeout_at(deadline.at, self.body.frame()).await {
+                Ok(frame) => {
+                    return frame
+                        .transpose()
+                        .map_err(|error| outcome_of_read_error(&error))
+                }
+                // The request's body was completed meanwhile, which has set its deadline.
+                Err(_) if self.frame_deadline(stalled_at).at > Instant::now() => {}
+                Err(_) => return Err(deadline.outcome),
+            }
+        }
     }
 
-    fn frame_deadline(&self) -> FrameDeadline {
-        let small_body_deadline = self
-            .small_body_deadline
-            .filter(|_| self.forwarded <= MAX_BUFFERED_BODY_BYTES as u64);
-        let stalled_at = Instant::now() + BODY_STALL_TIMEOUT;
+    /// When the next frame must have arrived, if the body has stalled at `stalled_at`.
+    fn frame_deadline(&self, stalled_at: Instant) -> FrameDeadline {
+        let small_body_deadline = self.request.deadline.get().filter(|_| self.may_be_small());
         match small_body_deadline {
             Some(deadline) if deadline < stalled_at => FrameDeadline {
                 at: deadline,
@@ -151,4 +161,11 @@
             },
         }
     }
+
+    fn may_be_small(&self) -> bool {
+        !self.declares_large_body && self.forwarded <= MAX_BUFFERED_BODY_BYTES as u64
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -0,0 +1,103 @@
+//! Time limits of relayed responses, over in-memory connections and virtual time.
+use super::*;
+use crate::body::response_body::{upstream_body_stream, UpstreamBodyStream};
+use crate::test_support::get_request;
+use hyper::client::conn::http1;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use std::future::poll_fn;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::time::sleep;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The body of a response whose upstream sends `head` at once, and then what `send` does.
+async fn upstream_body(
+    head: &'static str,
+    send: impl AsyncFnOnce(&mut DuplexStream) + 'static,
+) -> Incoming {
+    let (client, mut server) = tokio::io::duplex(1 << 20);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(client))
+        .await
+        .expect("connects");
+    tokio::task::spawn_local(connection);
+    tokio::task::spawn_local(async move {
+        let mut request = [0; 1 << 10];
+        let _read = server.read(&mut request).await.expect("a request");
+        server.write_all(head.as_bytes()).await.expect("is sent");
+        send(&mut server).await;
+    });
+    let request = Request::new(http_body_util::Empty::<Bytes>::new());
+    sender
+        .send_request(request)
+        .await
+        .expect("a response")
+        .into_body()
+}
+
+/// A request whose time is over after `time`; `None`: its body is incomplete.
+fn request_with_time(time: Option<Duration>) -> Rc<OutboundRequest> {
+    let request = get_request();
+    request.deadline.set(time.map(|time| Instant::now() + time));
+    Rc::new(request)
+}
+
+/// Reads all that is relayed.
+async fn read_stream(mut stream: UpstreamBodyStream) {
+    while poll_fn(|cx| stream.poll_chunk(cx))
+        .await
+        .is_some_and(|chunk| chunk.is_ok())
+    {}
+}
+
+/// Relays a response to its end. Returns how the relay ended, and after how long.
+async fn relay(
+    head: &'static str,
+    declares_large_body: bool,
+    request: Rc<OutboundRequest>,
+    send: impl AsyncFnOnce(&mut DuplexStream) + 'static,
+) -> (Result<(), AttemptOutcome>, Duration) {
+    let start = Instant::now();
+    let body = upstream_body(head, send).await;
+    let (sender, stream) = upstream_body_stream(None);
+    let relay = Relay::new(sender, body, declares_large_body, request);
+    let (result, ()) = tokio::join!(relay.run(Bytes::new()), read_stream(stream));
+    (result, start.elapsed())
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Guards against requests that wait for the end of a response that never ends.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn ends_a_small_response_at_the_deadline_of_its_request() {
+    let request = request_with_time(Some(4 * SECOND));
+    let (result, after) = relay(CHUNKED, false, request, async |server| {
+        for _ in 0..100 {
+            sleep(SECOND / 2).await;
+            server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+        }
+    })
+    .await;
+    assert_eq!(result, Err(AttemptOutcome::Timeout));
+    assert!(after >= 4 * SECOND && after < 5 * SECOND, "{after:?}");
+}
+
+/// Guards against ending a response by a deadline that was set before the request's body was
+/// complete.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn follows_the_deadline_of_a_request_whose_body_is_completed_later() {
+    let request = request_with_time(None);
+    let completed = request.clone();
+    tokio::task::spawn_local(async move {
+        sleep(8 * SECOND).await;
+        completed.deadline.set(Some(Instant::now() + 4 * SECOND));
+    });
+    let (result, _) = relay(CHUNKED, false, request, async |server| {
+        sleep(9 * SECOND).await;
+        server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+        sleep(2 * SECOND).await;
+        server.write_all(b"0\r\n\r\n").await.expect("is sent");
+    })
+    .await;
+    assert_eq!(result, Ok(()));
+}
