Give up a stalled response no earlier than at the deadline of its request

What callers saw: a client with more than 10 s lost a relayed response if its upstream paused for 10 s, or if the client read nothing for as long, with time left.

Cause: the stall limit of 10 s held whatever the request's time was. Change: it ends at the deadline of the request if that is later.

--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -1,7 +1,6 @@
 //! Response bodies: complete ones, and large ones that are relayed from an upstream to a client.
-use crate::body::limits::BODY_STALL_TIMEOUT;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
-use crate::time::timeout;
+use crate::time::timeout_at;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
@@ -12,6 +11,7 @@
 use std::task::{ready, Context, Poll};
 use thiserror::Error;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Largest number of chunks of a response that are queued between its upstream and its client.
 const MAX_QUEUED_CHUNKS: usize = 2;
@@ -32,15 +32,15 @@
     is_complete: Rc<Cell<bool>>,
 }
 
-/// The client has disconnected, or has read nothing for [`BODY_STALL_TIMEOUT`].
+/// The client has disconnected, or has read nothing for too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the client has disconnected or does not read the response")]
 pub struct ClientNotReceiving;
 
 impl UpstreamBodySender {
-    /// Passes a chunk on once there is space in the queue.
-    pub async fn send(&self, chunk: Bytes) -> Result<(), ClientNotReceiving> {
-        match timeout(BODY_STALL_TIMEOUT, self.chunks.send(chunk)).await {
+    /// Passes a chunk on once there is space in the queue. Fails if there is none until `limit`.
+    pub async fn send(&self, chunk: Bytes, limit: Instant) -> Result<(), ClientNotReceiving> {
+        match timeout_at(limit, self.chunks.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(ClientNotReceiving),
         }
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -124,8 +124,9 @@
     }
 
     async fn send(&self, data: Bytes) -> Result<(), AttemptOutcome> {
+        let limit = self.stall_limit(Instant::now() + BODY_STALL_TIMEOUT);
         self.sender
-            .send(data)
+            .send(data, limit)
             .await
             .map_err(|_| AttemptOutcome::Cancelled)
     }
@@ -151,17 +152,23 @@
     fn frame_deadline(&self, stalled_at: Instant) -> FrameDeadline {
         let small_body_deadline = self.request.deadline.get().filter(|_| self.may_be_small());
         match small_body_deadline {
-            Some(deadline) if deadline < stalled_at => FrameDeadline {
+            Some(deadline) => FrameDeadline {
                 at: deadline,
                 outcome: AttemptOutcome::Timeout,
             },
-            _ => FrameDeadline {
-                at: stalled_at,
+            None => FrameDeadline {
+                at: self.stall_limit(stalled_at),
                 outcome: AttemptOutcome::Reset,
             },
         }
     }
 
+    /// When a body that has stalled at `stalled_at` is given up: not before the request's deadline.
+    fn stall_limit(&self, stalled_at: Instant) -> Instant {
+        let deadline = self.request.deadline.get().unwrap_or(stalled_at);
+        stalled_at.max(deadline)
+    }
+
     fn may_be_small(&self) -> bool {
         !self.declares_large_body && self.forwarded <= MAX_BUFFERED_BODY_BYTES as u64
     }
--- a/balancer/src/outbound/response_relay/tests.rs
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -101,3 +101,65 @@
     .await;
     assert_eq!(result, Ok(()));
 }
+
+/// Guards against cutting off a response that pauses, or that its client does not read for a while,
+/// although the client still waits.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn does_not_end_a_stalled_response_before_the_deadline_of_its_request() {
+    let pause = BODY_STALL_TIMEOUT + 2 * SECOND;
+    for declares_large_body in [true, false] {
+        let request = request_with_time(Some(pause + SECOND));
+        let (result, _) = relay(CHUNKED, declares_large_body, request, async move |server| {
+            server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+            sleep(pause).await;
+            server.write_all(b"0\r\n\r\n").await.expect("is sent");
+        })
+        .await;
+        assert_eq!(result, Ok(()), "large: {declares_large_body}");
+    }
+    let body = upstream_body(CHUNKED, async |server| {
+        for _ in 0..10 {
+            server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+            sleep(SECOND / 10).await;
+        }
+        server.write_all(b"0\r\n\r\n").await.expect("is sent");
+    })
+    .await;
+    let (sender, stream) = upstream_body_stream(None);
+    let relay = Relay::new(sender, body, true, request_with_time(Some(pause + SECOND)));
+    let client = async {
+        sleep(pause).await;
+        read_stream(stream).await;
+    };
+    let (result, ()) = tokio::join!(relay.run(Bytes::new()), client);
+    assert_eq!(result, Ok(()), "the client does not read for a while");
+}
+
+/// Guards against upstreams that stop sending in the middle of a large response, and clients that
+/// stop reading it, when the time of the request is over.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn ends_a_large_response_that_stalls_after_the_deadline_of_its_request() {
+    let request = request_with_time(Some(SECOND));
+    let (result, after) = relay(CHUNKED, true, request, async |server| {
+        server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+        sleep(60 * SECOND).await;
+    })
+    .await;
+    assert_eq!(result, Err(AttemptOutcome::Reset));
+    assert!(after <= BODY_STALL_TIMEOUT + SECOND, "{after:?}");
+    let body = upstream_body(CHUNKED, async |server| {
+        while server.write_all(b"1\r\nx\r\n").await.is_ok() {
+            sleep(SECOND / 10).await;
+        }
+    })
+    .await;
+    let (sender, _unread_stream) = upstream_body_stream(None);
+    let start = Instant::now();
+    let relay = Relay::new(sender, body, true, request_with_time(Some(SECOND)));
+    assert_eq!(
+        relay.run(Bytes::new()).await,
+        Err(AttemptOutcome::Cancelled)
+    );
+    let after = start.elapsed();
+    assert!(after <= BODY_STALL_TIMEOUT + SECOND, "{after:?}");
+}
