Answer a client that stops in the middle of its body within 3 s

Cause: each byte received added to the limit for good, so that bytes that came fast paid for later silence.

Change: waiting for a client draws on a budget of at most 2.5 s, which bytes restore at 32 kB/s as before.

Measured: the new test in clients.rs failed before (408 after 4.4 s for 60 of 64 kB) and passes for 60 kB, 150 kB and 1 MB; the new one over virtual time failed before and passes; the tests of 64 kB/s and of bodies, sockets, uploads pass.

--- a/balancer/src/body/time_limited_body.rs
+++ b/balancer/src/body/time_limited_body.rs
@@ -10,19 +10,19 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Longest time spent waiting for the client to send one request, not counting the time that
-/// [`MIN_BODY_BYTES_PER_SECOND`] allows for its body.
+/// Longest time spent waiting for the client to send one request, or to send more of its body.
 pub const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Each byte received extends the time limit by the time that it takes at this rate, which is half
-/// of the 64 kB/s at which clients are promised not to time out.
+/// Each byte received restores the time that it takes at this rate, which is half of the 64 kB/s at
+/// which clients are promised not to time out.
 const MIN_BODY_BYTES_PER_SECOND: f64 = 32_000.0;
 
-/// A client's request body that counts the time spent waiting for the client.
+/// A client's request body with a budget of time for waiting for the client. Waiting uses the budget
+/// up, bytes restore it, and it is never more than [`REQUEST_READ_TIMEOUT`].
 pub struct TimeLimitedBody {
     body: Incoming,
     bytes_received: u64,
-    /// Time spent waiting for the client, without the current wait.
-    time_waited: Duration,
+    /// The budget at the start of the current wait.
+    wait_budget: Duration,
     current_wait: Option<Wait>,
 }
 
@@ -38,7 +38,7 @@
         TimeLimitedBody {
             body,
             bytes_received: 0,
-            time_waited,
+            wait_budget: REQUEST_READ_TIMEOUT.saturating_sub(time_waited),
             current_wait: None,
         }
     }
@@ -66,7 +66,8 @@
                 return Poll::Ready(Some(Err(BodyError::TimedOut)));
             };
             if let Some(wait) = self.current_wait.take() {
-                self.time_waited += wait.started_at.elapsed();
+                let waited = wait.started_at.elapsed();
+                self.wait_budget = self.wait_budget.saturating_sub(waited);
             }
             let Some(frame) = frame else {
                 return Poll::Ready(None);
@@ -82,24 +83,20 @@
 
     fn count_bytes(&mut self, data: Bytes) -> Result<Bytes, BodyError> {
         self.bytes_received += data.len() as u64;
+        let restored = Duration::from_secs_f64(data.len() as f64 / MIN_BODY_BYTES_PER_SECOND);
+        self.wait_budget = (self.wait_budget + restored).min(REQUEST_READ_TIMEOUT);
         if self.bytes_received > MAX_BODY_BYTES {
             return Err(BodyError::TooLarge);
         }
         Ok(data)
     }
 
-    /// Ready once the time limit on waiting for the client has passed.
+    /// Ready once the budget is used up.
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let bytes_received = self.bytes_received;
-        let time_waited = self.time_waited;
-        let wait = self.current_wait.get_or_insert_with(|| {
-            let allowance =
-                Duration::from_secs_f64(bytes_received as f64 / MIN_BODY_BYTES_PER_SECOND);
-            let limit = REQUEST_READ_TIMEOUT + allowance;
-            Wait {
-                started_at: Instant::now(),
-                timeout: Box::pin(sleep(limit.saturating_sub(time_waited))),
-            }
+        let wait_budget = self.wait_budget;
+        let wait = self.current_wait.get_or_insert_with(|| Wait {
+            started_at: Instant::now(),
+            timeout: Box::pin(sleep(wait_budget)),
         });
         wait.timeout.as_mut().poll(cx)
     }
--- a/balancer/src/body/time_limited_body/tests.rs
+++ b/balancer/src/body/time_limited_body/tests.rs
@@ -112,3 +112,18 @@
     connection.abort();
     assert!(response.ends_with("\r\n\r\n100000"), "{response}");
 }
+
+/// Guards against clients that send much at once, and then a byte from time to time.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn bytes_that_came_fast_do_not_extend_later_waits() {
+    let start = Instant::now();
+    let end = read_body(1 << 20, Duration::ZERO, async |client| {
+        client.write_all(&[0; 500_000]).await.expect("is sent");
+        while start.elapsed() < Duration::from_secs(8) {
+            sleep(Duration::from_secs(2)).await;
+            // The balancer may have closed the connection.
+            let _ = client.write_all(&[0]).await;
+        }
+    });
+    assert_eq!(end.await, "500001 the request body did not arrive in time");
+}
--- a/balancer/tests/clients.rs
+++ b/balancer/tests/clients.rs
@@ -257,3 +257,25 @@
         "{remaining:?} remain of 2 s, of which 0.6 s had passed"
     );
 }
+
+/// Guards against counting bytes that came fast as time for those that never come.
+#[test]
+fn times_out_a_client_that_stops_in_the_middle_of_its_body() {
+    let upstream = start_raw_upstream(|stream| {
+        let _ = std::io::copy(stream, &mut std::io::sink());
+    });
+    let balancer = BalancerProcess::with_upstreams(&[upstream]);
+    for (sent, length) in [(60_000, 64_000), (150_000, 300_000), (1 << 20, 2 << 20)] {
+        let mut client = connect(balancer.address);
+        let head = upload_head(&sent.to_string(), &format!("Content-Length: {length}"));
+        send_bytes(&mut client, head.as_bytes());
+        send_bytes(&mut client, &vec![b'x'; sent]);
+        let stopped_at = Instant::now();
+        assert!(read_head(&mut client).starts_with("HTTP/1.1 408 "));
+        assert!(
+            stopped_at.elapsed() < Duration::from_secs(3),
+            "{sent} of {length} bytes: closed only after {:?}",
+            stopped_at.elapsed()
+        );
+    }
+}
