Keep little unsent in the socket of a relayed response, so that slow readers are seen

Cause: a full socket holds 4 MB and reports room when a third of it is sent, at that rate every 20 s; a response that stalls for 10 s is given up.

Change: TCP_NOTSENT_LOWAT of 128 KiB on the client's socket, set when the response is relayed.

Measured: the new test in response_time.rs failed before (connection ended early) and passes; bodies.rs passes.

--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -171,6 +171,12 @@
         response = submitted.response.response() => Some(response),
         () = connection.stream().wait_for_disconnect() => None,
     };
+    if final_response
+        .as_ref()
+        .is_some_and(FinalResponse::is_streamed)
+    {
+        connection.stream().limit_unsent_bytes();
+    }
     RoutedResponse {
         has_unread_body: submitted.upload.is_some_and(|upload| !upload.is_complete()),
         closes_connection: final_response.is_none(),
--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -18,6 +18,10 @@
 /// Largest head of a request or response, in bytes; hyper rejects a larger one.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Most bytes that wait in a socket to be sent, where that is limited: a peer that reads at 64 kB/s
+/// takes them in 2 s.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// How far a message has been written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteProgress {
@@ -152,6 +156,13 @@
         Err(io::Error::other(WriteDenied))
     }
 
+    /// Limits how many bytes wait in the socket to be sent, so that writes follow a peer that reads
+    /// slowly. By default the socket takes no byte until a third of several megabytes has been sent.
+    pub fn limit_unsent_bytes(&self) {
+        // Without the limit, such a peer is only taken for a stalled one earlier.
+        let _ = socket2::SockRef::from(&*self.stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+    }
+
     /// Acknowledges received bytes at once: some peers delay a further small write until the
     /// acknowledgement.
     pub fn acknowledge_received_data(&self) {
--- a/balancer/src/outbound/message.rs
+++ b/balancer/src/outbound/message.rs
@@ -81,6 +81,19 @@
     Failed,
 }
 
+impl FinalResponse {
+    /// Whether its body is relayed while it arrives.
+    pub fn is_streamed(&self) -> bool {
+        matches!(
+            self,
+            FinalResponse::Served {
+                body: UpstreamResponseBody::Streamed(_),
+                ..
+            }
+        )
+    }
+}
+
 /// Why the driver did not accept a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum SubmitError {
--- a/balancer/tests/response_time.rs
+++ b/balancer/tests/response_time.rs
@@ -6,7 +6,7 @@
 use std::io::BufReader;
 use std::net::TcpStream;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Writes `bytes` in pieces, which takes `duration`.
 fn send_slowly(stream: &mut BufReader<TcpStream>, bytes: &[u8], duration: Duration) {
@@ -52,3 +52,36 @@
     assert!(read_head(&mut client).starts_with("HTTP/1.1 200 "));
     assert_eq!(read_chunks(&mut client).len(), 320);
 }
+
+/// Guards against cutting off a client that reads steadily but slowly. Its socket then has room for
+/// more only once in a long time, unless little is kept unsent in it.
+#[test]
+fn relays_a_large_response_to_a_client_that_reads_slowly() {
+    const RESPONSE_BYTES: usize = 8 << 20;
+    const READ_RATE: f64 = 64e3;
+    /// Longer than a response may stall.
+    const SLOW_TIME: Duration = Duration::from_secs(16);
+    let upstream = start_raw_upstream(|stream| {
+        read_head(stream);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_BYTES}\r\n\r\n");
+        send_bytes(stream, head.as_bytes());
+        send_bytes(stream, &test_bytes(RESPONSE_BYTES));
+    });
+    let balancer = BalancerProcess::with_upstreams(&[upstream]);
+    let mut client = connect(balancer.address);
+    send_bytes(&mut client, get_request("r1", "3000m").as_bytes());
+    assert!(read_head(&mut client).starts_with("HTTP/1.1 200 "));
+    let start = Instant::now();
+    let mut body = Vec::new();
+    while start.elapsed() < SLOW_TIME {
+        body.extend(read_bytes(&mut client, 3200));
+        let due = Duration::from_secs_f64(body.len() as f64 / READ_RATE);
+        sleep(due.saturating_sub(start.elapsed()));
+    }
+    let rest = read_bytes(&mut client, RESPONSE_BYTES - body.len());
+    body.extend(rest);
+    assert!(
+        body == test_bytes(RESPONSE_BYTES),
+        "the client got a body that differs from the one sent"
+    );
+}
