Count a small request's time from its last byte too, after a wait of its head

What callers saw: a request whose head waited behind another one on its connection, and whose body came later, lost the time of that wait: 502 after 0.8 s of 2.0 s.

Cause: the time since the head's arrival was subtracted, whenever the last byte came.

Change: small requests take the end of the request from RequestEnd, as large ones do.

--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -28,7 +28,7 @@
     observer: RefCell<Option<Box<dyn UploadObserver>>>,
     error: Cell<Option<BodyError>>,
     /// When the client wrote the last byte.
-    end: RequestEnd,
+    end: Rc<RequestEnd>,
     /// When an attempt last polled for data.
     last_polled_at: Cell<Instant>,
 }
@@ -75,7 +75,7 @@
 impl Upload {
     /// An upload whose chunks `buffered` have been read; `body` is the rest, and `end` the end of
     /// its request.
-    pub fn new(body: TimeLimitedBody, buffered: Vec<Bytes>, end: RequestEnd) -> Rc<Upload> {
+    pub fn new(body: TimeLimitedBody, buffered: Vec<Bytes>, end: Rc<RequestEnd>) -> Rc<Upload> {
         let buffered_bytes: u64 = buffered.iter().map(|chunk| chunk.len() as u64).sum();
         let length = body
             .remaining_length()
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -232,15 +232,15 @@
     let time_waited = connection.tracker().waiting_since().elapsed();
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.method, &parts.headers, &context.deployment)?;
-    let queued_for = head_arrived_at.elapsed();
     check_body(&parts.method, &body)?;
-    let end = RequestEnd::new(connection.stream().peer(), head_arrived_at);
-    let body = read_body(TimeLimitedBody::new(body, time_waited), end).await?;
+    let end = Rc::new(RequestEnd::new(connection.stream().peer(), head_arrived_at));
+    let body = read_body(TimeLimitedBody::new(body, time_waited), &end).await?;
     // An upload counts the time since its request's end itself.
-    let client_timeout_ms = match &body {
-        RequestBody::Buffered(_) => (head.client_timeout_ms - to_millis(queued_for)).max(0.0),
-        RequestBody::Streamed(_) => head.client_timeout_ms,
+    let time_used_ms = match &body {
+        RequestBody::Buffered(_) => to_millis(end.earliest().elapsed()),
+        RequestBody::Streamed(_) => 0.0,
     };
+    let client_timeout_ms = (head.client_timeout_ms - time_used_ms).max(0.0);
     let upload = match &body {
         RequestBody::Streamed(upload) => Some(upload.clone()),
         RequestBody::Buffered(_) => None,
@@ -278,7 +278,10 @@
 
 /// Buffers a small body completely. Of a large one, only the start is read; an upload reads the
 /// rest.
-async fn read_body(mut body: TimeLimitedBody, end: RequestEnd) -> Result<RequestBody, BodyError> {
+async fn read_body(
+    mut body: TimeLimitedBody,
+    end: &Rc<RequestEnd>,
+) -> Result<RequestBody, BodyError> {
     let mut chunks: Vec<Bytes> = Vec::new();
     let mut length = 0;
     let mut is_large = body
@@ -293,7 +296,11 @@
         chunks.push(chunk);
         is_large = length > MAX_BUFFERED_BODY_BYTES;
     }
-    Ok(RequestBody::Streamed(Upload::new(body, chunks, end)))
+    Ok(RequestBody::Streamed(Upload::new(
+        body,
+        chunks,
+        end.clone(),
+    )))
 }
 
 fn outbound_request(parts: request::Parts, body: RequestBody, client: Peer) -> OutboundRequest {
--- a/balancer/tests/upload_time.rs
+++ b/balancer/tests/upload_time.rs
@@ -180,3 +180,28 @@
         );
     }
 }
+
+/// Guards against counting the time that a request's head waited behind another request, although
+/// the client wrote its last byte only later.
+#[test]
+fn counts_the_time_of_a_queued_request_from_its_last_byte() {
+    const RESPONSE_TIME: Duration = Duration::from_millis(1200);
+    let upstream = start_raw_upstream(|stream| {
+        while !read_head(stream).is_empty() {
+            sleep(RESPONSE_TIME);
+            send_bytes(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let balancer = BalancerProcess::with_upstreams(&[upstream]);
+    let time = RESPONSE_TIME * 2 - Duration::from_millis(400);
+    let request = payment_request("r2", &format!("{}m", time.as_millis()));
+    let (head, body) = request.split_at(request.len() - "body".len());
+    let mut client = balancer.client();
+    client.send(&get_request("r1", "15000m"));
+    client.send(head);
+    let first = client.read_response().expect("a response");
+    assert_eq!(first.status(), 200);
+    client.send(body);
+    let second = client.read_response().expect("a response");
+    assert_eq!(second.status(), 200);
+}
