--- /dev/null
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -0,0 +1,122 @@
+//! Receives the response of an attempt: buffers or relays its body, and returns the connection.
+use super::Attempt;
+use crate::body::limits::MAX_BODY_BYTES;
+use crate::body::response_body::{upstream_body_stream, UpstreamResponseBody};
+use crate::outbound::attempt_result::AttemptResult;
+use crate::outbound::connection_pool::Connection;
+use crate::outbound::headers::remove_hop_by_hop_headers;
+use crate::outbound::message::FinalResponse;
+use crate::outbound::response_outcome::{has_unambiguous_end, outcome_of_response};
+use crate::outbound::response_relay::{buffer_body, declares_large_body, BufferedBody, Relay};
+use crate::outbound::reuse_lease::ReuseLease;
+use crate::time::timeout;
+use balancer_core::AttemptOutcome;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::http::response;
+use hyper::{Response, StatusCode};
+use std::time::Duration;
+
+/// Time allowed for a connection to become ready for its next request after a complete response.
+const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(5);
+
+/// A response that has begun: its head, and the connection on which its body follows.
+pub(super) struct StartedResponse {
+    pub(super) connection: Connection,
+    pub(super) lease: ReuseLease,
+    pub(super) response: Response<Incoming>,
+}
+
+impl Attempt<'_> {
+    /// Buffers or relays the body of a response. After a complete response, returns the connection
+    /// to the pool.
+    pub(super) async fn receive_response(
+        &self,
+        started: StartedResponse,
+        on_response_started: impl FnOnce(FinalResponse),
+    ) -> Result<AttemptResult, AttemptOutcome> {
+        let StartedResponse {
+            connection,
+            lease,
+            response,
+        } = started;
+        let declared_length = response.body().size_hint().exact();
+        let is_too_large = declared_length.is_some_and(|length| length > MAX_BODY_BYTES);
+        if is_too_large || !has_unambiguous_end(&response) {
+            return Err(AttemptOutcome::Error);
+        }
+        let outcome = outcome_of_response(&response);
+        let (head, mut body) = response.into_parts();
+        let buffered = buffer_body(&mut body, declared_length).await?;
+        if lease.is_revoked() {
+            return Err(AttemptOutcome::Error);
+        }
+        let response = match buffered {
+            BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
+            BufferedBody::Partial(buffered) if outcome == AttemptOutcome::Success => {
+                let relay = self.start_relay(head, body, declared_length, on_response_started);
+                relay.run(buffered).await?;
+                None
+            }
+            // The rest of the body stays unread, so the connection cannot be reused and is closed.
+            BufferedBody::Partial(_) => {
+                return Ok(AttemptResult {
+                    outcome,
+                    response: client_error(outcome, head.status),
+                })
+            }
+        };
+        // The connection is returned before the outcome is reported, so that the next attempt that
+        // the core starts can use it.
+        self.return_connection(connection).await;
+        Ok(AttemptResult { outcome, response })
+    }
+
+    /// Passes on the head of a large response, and returns the relay for its body.
+    fn start_relay(
+        &self,
+        mut head: response::Parts,
+        body: Incoming,
+        declared_length: Option<u64>,
+        on_response_started: impl FnOnce(FinalResponse),
+    ) -> Relay {
+        remove_hop_by_hop_headers(&mut head.headers);
+        let (sender, stream) = upstream_body_stream(declared_length);
+        on_response_started(FinalResponse::Served {
+            headers: head.headers,
+            body: UpstreamResponseBody::Streamed(stream),
+        });
+        let declares_large_body = declares_large_body(declared_length);
+        Relay::new(sender, body, declares_large_body, self.request.clone())
+    }
+
+    async fn return_connection(&self, mut connection: Connection) {
+        let ready = timeout(CONNECTION_READY_TIMEOUT, connection.sender.ready()).await;
+        let may_keep_idle = self.transport.connector.may_keep_idle(&self.upstream);
+        if matches!(ready, Ok(Ok(()))) && may_keep_idle {
+            self.upstream.return_after_response(connection);
+        }
+    }
+}
+
+/// The final response of an attempt whose response was buffered completely.
+fn final_response(
+    outcome: AttemptOutcome,
+    mut head: response::Parts,
+    body: Bytes,
+) -> Option<FinalResponse> {
+    if outcome != AttemptOutcome::Success {
+        return client_error(outcome, head.status);
+    }
+    remove_hop_by_hop_headers(&mut head.headers);
+    Some(FinalResponse::Served {
+        headers: head.headers,
+        body: UpstreamResponseBody::Buffered(body),
+    })
+}
+
+/// The final response to a request that its upstream found invalid. Another upstream would reject
+/// it too, and it is no evidence of a failure of this one.
+fn client_error(outcome: AttemptOutcome, status: StatusCode) -> Option<FinalResponse> {
+    (outcome == AttemptOutcome::Cancelled).then_some(FinalResponse::ClientError(status))
+}
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -2,11 +2,12 @@
 use super::*;
 use crate::body::request_body::RequestBody;
 use crate::net::descriptor_budget::DescriptorBudget;
-use crate::outbound::connection_pool::PooledConnection;
+use crate::outbound::connection_pool::{Connection, PooledConnection};
 use crate::outbound::surplus_history::SurplusCause;
 use crate::outbound::surplus_reporter::SurplusRecipient;
 use crate::telemetry::metrics::Metrics;
 use crate::test_support::get_request;
+use bytes::Bytes;
 use hyper::Method;
 use std::io::{Read, Write};
 use std::net::TcpListener;
