Check an upload's time again as early as its request can expire

Cause: the next check was taken from what held at the check. Change: it is at most the client's timeout away.

--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -14,6 +14,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// The timeout of an attempt that has no limit besides the client's timeout.
+const NO_LIMIT_MS: Millis = 0.0;
+
 /// An attempt that is about to start.
 pub struct PreparedAttempt {
     /// Its id.
@@ -158,12 +161,17 @@
         if pending.is_body_complete() {
             return TimeoutResolution::ResponseOverdue;
         }
-        let expires_at = pending.expires_at();
-        if expires_at <= Instant::now() {
+        let now = Instant::now();
+        if pending.expires_at() <= now {
             return TimeoutResolution::UploadOverdue;
         }
+        // A client that is still writing may be done at once, so its request may expire as early as
+        // an attempt that starts now.
+        let next_check_at = pending.attempt_deadline(NO_LIMIT_MS, now);
         if let Some(attempt) = self.attempts.get_mut(id) {
-            let timeout = self.timers.set(expires_at, TimerEvent::AttemptTimeout(id));
+            let timeout = self
+                .timers
+                .set(next_check_at, TimerEvent::AttemptTimeout(id));
             attempt.replace_timeout(timeout);
         }
         TimeoutResolution::Postponed
