End an early small response at the deadline that is set while it waits

Change: the relay looks each 100 ms whether the request has its deadline, and takes the outcome that holds then.

Measured: the new test over virtual time failed before (Reset after 10 s) and passes (Timeout after 5 s); all unit tests of balancer, response_time, bodies and upload_time pass.

--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -16,6 +16,10 @@
 /// How long a body of undeclared length is buffered before it is relayed like a large one.
 const UNDECLARED_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
 
+/// Interval in which a response that has begun before its request was complete looks for the
+/// request's deadline.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What was read of a response body before the response was passed on.
 pub enum BufferedBody {
     /// The complete body.
@@ -134,20 +138,28 @@
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptOutcome> {
         let stalled_at = Instant::now() + BODY_STALL_TIMEOUT;
         loop {
+            let wake_at = self.wake_at(self.frame_deadline(stalled_at).at);
+            if let Ok(frame) = timeout_at(wake_at, self.body.frame()).await {
+                return frame
+                    .transpose()
+                    .map_err(|error| outcome_of_read_error(&error));
+            }
             let deadline = self.frame_deadline(stalled_at);
-            match timeout_at(deadline.at, self.body.frame()).await {
-                Ok(frame) => {
-                    return frame
-                        .transpose()
-                        .map_err(|error| outcome_of_read_error(&error))
-                }
-                // The request's body was completed meanwhile, which has set its deadline.
-                Err(_) if self.frame_deadline(stalled_at).at > Instant::now() => {}
-                Err(_) => return Err(deadline.outcome),
+            if Instant::now() >= deadline.at {
+                return Err(deadline.outcome);
             }
         }
     }
 
+    /// Until when to wait for a frame: until `frame_deadline`, or until the next look whether the
+    /// request has its deadline now.
+    fn wake_at(&self, frame_deadline: Instant) -> Instant {
+        if self.request.deadline.get().is_some() {
+            return frame_deadline;
+        }
+        frame_deadline.min(Instant::now() + DEADLINE_CHECK_INTERVAL)
+    }
+
     /// When the next frame must have arrived, if the body has stalled at `stalled_at`.
     fn frame_deadline(&self, stalled_at: Instant) -> FrameDeadline {
         let small_body_deadline = self.request.deadline.get().filter(|_| self.may_be_small());
--- a/balancer/src/outbound/response_relay/tests.rs
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -163,3 +163,21 @@
     let after = start.elapsed();
     assert!(after <= BODY_STALL_TIMEOUT + SECOND, "{after:?}");
 }
+
+/// Guards against small responses that began before the request was complete, and outlive its time.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn ends_an_early_small_response_at_the_deadline_that_is_set_while_it_waits() {
+    let request = request_with_time(None);
+    let completed = request.clone();
+    tokio::task::spawn_local(async move {
+        sleep(2 * SECOND).await;
+        completed.deadline.set(Some(Instant::now() + 3 * SECOND));
+    });
+    let (result, after) = relay(CHUNKED, false, request, async |server| {
+        server.write_all(b"1\r\nx\r\n").await.expect("is sent");
+        sleep(60 * SECOND).await;
+    })
+    .await;
+    assert_eq!(result, Err(AttemptOutcome::Timeout));
+    assert!(after >= 5 * SECOND && after < 6 * SECOND, "{after:?}");
+}
