--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -457,8 +457,9 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub settings: Settings,
-    /// The limit of file descriptors.
+    /// The limits that the configuration states.
     pub sockets: u32,
+    pub memory_mb: u64,
     pub folder: PathBuf,
 }
 
@@ -479,6 +480,7 @@
             discovery: discovery.address,
             settings,
             sockets: 1024,
+            memory_mb: 192,
             folder,
         }
     }
@@ -491,8 +493,8 @@
         let config = self.folder.join(format!("config-{}.json", number));
         let text = format!(
             "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"ops\":\"{}\",\"seed\":\"8c1f30d27a5be9{:02x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{}}},\"known\":null,\"settings\":{}}}",
-            self.name, self.listen, self.discovery, admin, number, self.sockets, self.settings.json()
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":null,\"settings\":{}}}",
+            self.name, self.listen, self.discovery, admin, number, self.memory_mb, self.sockets, self.settings.json()
         );
         fs::write(&config, text).expect("writes the configuration");
         let log = File::create(self.folder.join(format!("log-{}.txt", number))).expect("opens the log");
