Copy kept pieces of request bodies out of hyper's read buffers

The balancer passed 48 MB after 0.3 s and was killed, with all that it had taken.

Cause: each piece is a slice of hyper's read buffer, and a slice that lives keeps that buffer; hyper allocates 8 KiB for the next read. Small bodies, the first 64 KiB of large ones and what waited for an upstream were kept as such slices, so a piece cost 8 KiB however small it was.

Change: what is kept is copied into memory of its own size (BodyBuffer), and the position of an attempt in a large body counts bytes instead of pieces.

--- a/balancer/src/body/mod.rs
+++ b/balancer/src/body/mod.rs
@@ -1,5 +1,6 @@
 //! Request and response bodies, buffered or streamed.
 
+pub(crate) mod body_buffer;
 pub(crate) mod body_error;
 pub(crate) mod limits;
 pub(crate) mod request_body;
--- a/balancer/src/body/request_body.rs
+++ b/balancer/src/body/request_body.rs
@@ -46,7 +46,7 @@
     Buffered(Bytes),
     Streamed {
         upload: Rc<Upload>,
-        /// How many chunks have been written.
+        /// How many bytes have been written.
         position: usize,
     },
 }
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -1,4 +1,5 @@
 //! A large request body that is forwarded to an upstream while the client still sends it.
+use crate::body::body_buffer::{copy_of, BodyBuffer};
 use crate::body::body_error::BodyError;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BUFFERED_BODY_BYTES};
 use crate::body::request_end::{ClientState, RequestEnd};
@@ -35,8 +36,8 @@
 
 struct UploadState {
     body: TimeLimitedBody,
-    /// All chunks received, while they are not more than [`MAX_BUFFERED_BODY_BYTES`].
-    buffered: Option<Vec<Bytes>>,
+    /// All bytes received, while they are not more than [`MAX_BUFFERED_BODY_BYTES`].
+    buffered: Option<BodyBuffer>,
     is_complete: bool,
 }
 
@@ -64,7 +65,7 @@
         let fits = self.body.bytes_received() <= MAX_BUFFERED_BODY_BYTES as u64;
         match &mut self.buffered {
             Some(buffered) if fits => {
-                buffered.push(chunk.clone());
+                buffered.append(chunk);
                 false
             }
             _ => self.buffered.take().is_some(),
@@ -73,13 +74,12 @@
 }
 
 impl Upload {
-    /// An upload whose chunks `buffered` have been read; `body` is the rest, and `end` the end of
-    /// its request.
-    pub fn new(body: TimeLimitedBody, buffered: Vec<Bytes>, end: Rc<RequestEnd>) -> Rc<Upload> {
-        let buffered_bytes: u64 = buffered.iter().map(|chunk| chunk.len() as u64).sum();
+    /// An upload whose start `buffered` has been read; `body` is the rest, and `end` the end of its
+    /// request.
+    pub fn new(body: TimeLimitedBody, buffered: BodyBuffer, end: Rc<RequestEnd>) -> Rc<Upload> {
         let length = body
             .remaining_length()
-            .map(|remaining| remaining + buffered_bytes);
+            .map(|remaining| remaining + buffered.len() as u64);
         Rc::new(Upload {
             state: RefCell::new(UploadState {
                 body,
@@ -119,11 +119,11 @@
         self.error.get()
     }
 
-    /// Whether the body is complete and has no chunk after the first `position` ones.
+    /// Whether the body is complete and has no byte after the first `position` ones.
     pub fn ends_at(&self, position: usize) -> bool {
         let state = self.state.borrow();
-        let buffered_chunks = state.buffered.as_ref().map_or(0, Vec::len);
-        state.is_complete && position >= buffered_chunks
+        let buffered_bytes = state.buffered.as_ref().map_or(0, BodyBuffer::len);
+        state.is_complete && position >= buffered_bytes
     }
 
     /// The client wrote the last byte at this time or later.
@@ -156,7 +156,8 @@
         Some(self.end.update(state.body.bytes_received(), self.length))
     }
 
-    /// Polls for the chunk after the first `position` ones, and advances `position`.
+    /// Polls for bytes after the first `position` ones, and advances `position`. The bytes are a copy:
+    /// they are kept until the upstream reads on.
     pub fn poll_next(
         &self,
         cx: &mut Context<'_>,
@@ -168,10 +169,10 @@
         let buffered_chunk = state
             .buffered
             .as_ref()
-            .and_then(|buffered| buffered.get(*position));
+            .and_then(|buffered| buffered.chunk_at(*position));
         if let Some(chunk) = buffered_chunk {
-            *position += 1;
-            return Poll::Ready(Some(Ok(chunk.clone())));
+            *position += chunk.len();
+            return Poll::Ready(Some(Ok(chunk)));
         }
         if state.is_complete {
             return Poll::Ready(None);
@@ -180,14 +181,14 @@
         let progress = state.record(next.as_ref());
         // The observer may call back into this upload.
         drop(state);
-        if matches!(next, Some(Ok(_))) {
-            *position += 1;
+        if let Some(Ok(chunk)) = &next {
+            *position += chunk.len();
         }
         self.notify(progress);
         if let Some(Err(error)) = next {
             self.error.set(Some(error));
         }
-        Poll::Ready(next)
+        Poll::Ready(next.map(|chunk| chunk.map(|chunk| copy_of(&chunk))))
     }
 
     fn notify(&self, progress: UploadProgress) {
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -1,5 +1,6 @@
 //! Handles one request of a client: reads it, submits it to the driver and returns the final
 //! response.
+use crate::body::body_buffer::BodyBuffer;
 use crate::body::body_error::BodyError;
 use crate::body::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::request_body::RequestBody;
@@ -21,7 +22,6 @@
 use crate::phase::Phase;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use balancer_core::Millis;
-use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request;
@@ -282,23 +282,19 @@
     mut body: TimeLimitedBody,
     end: &Rc<RequestEnd>,
 ) -> Result<RequestBody, BodyError> {
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    let mut is_large = body
-        .remaining_length()
-        .is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
+    let stated_length = body.remaining_length();
+    let mut is_large = stated_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
+    let mut buffered = BodyBuffer::new(stated_length);
     while !is_large {
         let Some(chunk) = body.next().await else {
-            return Ok(RequestBody::Buffered(chunks.concat().into()));
+            return Ok(RequestBody::Buffered(buffered.into_bytes()));
         };
-        let chunk = chunk?;
-        length += chunk.len();
-        chunks.push(chunk);
-        is_large = length > MAX_BUFFERED_BODY_BYTES;
+        buffered.append(&chunk?);
+        is_large = buffered.len() > MAX_BUFFERED_BODY_BYTES;
     }
     Ok(RequestBody::Streamed(Upload::new(
         body,
-        chunks,
+        buffered,
         end.clone(),
     )))
 }
--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -1,7 +1,8 @@
 //! The balancer under test, as a process.
 use super::{
-    active_endpoints, balancer_command, balancer_config, call_admin, connect, wait_for_metric,
-    with_admin_endpoint, with_read_timeout, Client, StubDiscovery, TEST_TIMEOUT,
+    active_endpoints, balancer_command, balancer_config, call_admin, connect, memory_kb,
+    wait_for_metric, with_admin_endpoint, with_read_timeout, Client, MemorySampler, StubDiscovery,
+    TEST_TIMEOUT,
 };
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
@@ -196,16 +197,12 @@
 
     /// Its resident memory, in kB.
     pub fn resident_kb(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
-            .expect("reads the balancer's status in /proc");
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
-            .expect("VmRSS in the balancer's status");
-        line.trim()
-            .trim_end_matches(" kB")
-            .parse()
-            .expect("a number")
+        memory_kb(self.child.id(), "VmRSS")
+    }
+
+    /// Samples its anonymous memory from now on.
+    pub fn sample_memory(&self) -> MemorySampler {
+        MemorySampler::start(self.child.id())
     }
 
     /// Asks it to shut down with SIGTERM.
--- /dev/null
+++ b/balancer/tests/memory.rs
@@ -0,0 +1,161 @@
+//! Memory of what peers write in small pieces: it stays within the limit of the configuration.
+mod common;
+
+use common::*;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::{self, sleep};
+use std::time::Duration;
+
+/// A pair of limits that the operators' pages print.
+const MEMORY_MB: usize = 48;
+const SOCKETS: usize = 384;
+/// Clients hold at most a third of the descriptors for requests.
+const CLIENTS: usize = SOCKETS / 3;
+/// A body that is buffered completely.
+const SMALL_BODY_BYTES: usize = 64 << 10;
+/// A body that is streamed.
+const LARGE_BODY_BYTES: usize = 1 << 20;
+/// How much of a large body is written; its receiver reads none of it.
+const WRITTEN_OF_LARGE_BODY_BYTES: usize = 192 << 10;
+/// Sizes of the pieces that are written.
+const PIECE_SIZES: [usize; 3] = [64, 320, 1400];
+/// Pause after a round in which each peer has written a piece. The balancer reads it meanwhile.
+const PAUSE: Duration = Duration::from_millis(2);
+/// Longer than a play.
+const HANG_TIME: Duration = Duration::from_secs(25);
+
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+}
+
+const FRAMINGS: [Framing; 2] = [Framing::Length, Framing::Chunked];
+
+/// A body on the wire, and the header that states its framing. A chunk is as long as a piece.
+struct WireBody {
+    header: String,
+    bytes: Vec<u8>,
+}
+
+impl WireBody {
+    fn new(framing: Framing, length: usize, piece: usize) -> WireBody {
+        let body = test_bytes(length);
+        match framing {
+            Framing::Length => WireBody {
+                header: format!("Content-Length: {length}"),
+                bytes: body,
+            },
+            Framing::Chunked => WireBody {
+                header: "Transfer-Encoding: chunked".to_string(),
+                bytes: body.chunks(piece).flat_map(chunk).collect(),
+            },
+        }
+    }
+}
+
+fn chunk(data: &[u8]) -> Vec<u8> {
+    let size = format!("{:x}\r\n", data.len());
+    [size.as_bytes(), data, b"\r\n"].concat()
+}
+
+/// Writes these bytes to each of the streams in pieces, so that the balancer reads each piece alone.
+fn write_in_pieces(streams: &mut [TcpStream], bytes: &[u8], piece: usize) {
+    for part in bytes.chunks(piece) {
+        for stream in &mut *streams {
+            // The balancer may have stopped reading, and the buffers may be full.
+            let _ = stream.write(part);
+        }
+        sleep(PAUSE);
+    }
+}
+
+/// Starts an upstream with a thread for each connection.
+fn start_upstream(serve: impl Fn(&mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(&mut with_read_timeout(stream)));
+        }
+    });
+    address
+}
+
+fn start_balancer(upstream: SocketAddr) -> BalancerProcess {
+    let discovery = StubDiscovery::start();
+    let config = balancer_config(discovery.address, SOCKETS, &active_endpoints(&[upstream]));
+    let limit = format!("\"memory_mb\":{MEMORY_MB}");
+    let config = config.replacen("\"memory_mb\":192", &limit, 1);
+    BalancerProcess::run(balancer_command(&config), discovery)
+}
+
+/// Connections whose writes do not wait.
+fn connect_clients(balancer: &BalancerProcess) -> Vec<TcpStream> {
+    let connect = |_| {
+        let stream = TcpStream::connect(balancer.address).expect("connects");
+        prepare_for_pieces(&stream);
+        stream
+    };
+    (0..CLIENTS).map(connect).collect()
+}
+
+fn prepare_for_pieces(stream: &TcpStream) {
+    stream.set_nonblocking(true).expect("sets O_NONBLOCK");
+    stream.set_nodelay(true).expect("sets TCP_NODELAY");
+}
+
+fn expect_within_limit(sampler: MemorySampler, play: &str) {
+    let peak_kb = sampler.stop();
+    assert!(
+        peak_kb < MEMORY_MB << 10,
+        "{play}: {peak_kb} kB of {MEMORY_MB} MB"
+    );
+}
+
+/// Clients write requests with bodies in pieces. The upstream reads no body.
+fn play_uploads(framing: Framing, length: usize, written: usize, piece: usize) {
+    let upstream = start_upstream(|stream| {
+        read_head(stream);
+        sleep(HANG_TIME);
+    });
+    let balancer = start_balancer(upstream);
+    let mut clients = connect_clients(&balancer);
+    let sampler = balancer.sample_memory();
+    let body = WireBody::new(framing, length, piece);
+    for (id, client) in clients.iter_mut().enumerate() {
+        let head = upload_head(&id.to_string(), &body.header);
+        client.write_all(head.as_bytes()).expect("writes a head");
+    }
+    let written = written.min(body.bytes.len());
+    write_in_pieces(&mut clients, &body.bytes[..written], piece);
+    let play = format!("requests of {length} bytes, {framing:?}, pieces of {piece}");
+    expect_within_limit(sampler, &play);
+}
+
+/// Guards against bodies whose pieces each keep the buffer that they were read into: a client that
+/// writes little at a time then takes many times the memory of what it has written.
+#[test]
+fn small_requests_in_small_pieces_stay_within_the_memory_limit() {
+    for framing in FRAMINGS {
+        for piece in PIECE_SIZES {
+            play_uploads(framing, SMALL_BODY_BYTES, SMALL_BODY_BYTES, piece);
+        }
+    }
+}
+
+/// The same for the start of a large body, which is kept for further attempts, and for what waits
+/// for its upstream.
+#[test]
+fn large_requests_in_small_pieces_stay_within_the_memory_limit() {
+    for framing in FRAMINGS {
+        for piece in PIECE_SIZES {
+            let written = WRITTEN_OF_LARGE_BODY_BYTES;
+            play_uploads(framing, LARGE_BODY_BYTES, written, piece);
+        }
+    }
+}
