Own each response until the client's socket has accepted its last byte

Cause: the exit waited for the driver's active requests, and a relayed request is active only until its upstream has given the last byte. The connection too counted as idle once hyper had taken the last chunk. What waited in the relay and in hyper was lost. Ruled out: the kernel's buffers (all of their bytes arrived after the exit), the limit of 30 s (the process ended after 8.6 s).

Change: the delivery of a response belongs to its connection, from the end of the request until the socket has accepted the last byte; only then is the connection idle. The exit waits for each response whose client still takes it, without a limit, and not for clients that take nothing (4 s if nothing was taken since the signal, 10 s otherwise).

The tests' framings, slow readers and peers that write in pieces move to tests/common, and the stream of a client connection to a file of its own.

--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -112,37 +112,50 @@
     }
 }
 
-/// The body of the final response to a client.
-pub enum ClientResponseBody<G> {
+/// The body of the final response to a client. A guard of type `G` may be held until hyper has taken
+/// all of the body.
+pub struct ClientResponseBody<G> {
+    content: ClientBodyContent,
+    guard: Option<G>,
+}
+
+enum ClientBodyContent {
     /// The complete body.
     Buffered(Full<Bytes>),
     /// A body that is still arriving. The request ends when the body ends.
-    Streamed(StreamedClientBody<G>),
+    Streamed(StreamedClientBody),
 }
 
-/// A response body that is relayed to the client, with the request and the guard that are dropped
-/// together with it.
-pub struct StreamedClientBody<G> {
-    stream: UpstreamBodyStream,
-    request: InFlightRequest,
-    _guard: G,
-}
+impl<G> ClientResponseBody<G> {
+    /// A complete body.
+    pub fn buffered(body: Bytes) -> ClientResponseBody<G> {
+        ClientResponseBody {
+            content: ClientBodyContent::Buffered(Full::new(body)),
+            guard: None,
+        }
+    }
 
-impl<G> StreamedClientBody<G> {
-    /// Relays `stream`. Records the outcome of `request`, and holds `guard` until the body is
-    /// dropped.
-    pub fn new(
-        stream: UpstreamBodyStream,
-        request: InFlightRequest,
-        guard: G,
-    ) -> StreamedClientBody<G> {
-        StreamedClientBody {
-            stream,
-            request,
-            _guard: guard,
+    /// A body that is relayed to the client from `stream`. Records the outcome of `request`.
+    pub fn streamed(stream: UpstreamBodyStream, request: InFlightRequest) -> ClientResponseBody<G> {
+        ClientResponseBody {
+            content: ClientBodyContent::Streamed(StreamedClientBody { stream, request }),
+            guard: None,
         }
     }
 
+    /// Holds `guard` until the body is dropped.
+    pub fn hold(&mut self, guard: G) {
+        self.guard = Some(guard);
+    }
+}
+
+/// A response body that is relayed to the client, with the request that ends with it.
+struct StreamedClientBody {
+    stream: UpstreamBodyStream,
+    request: InFlightRequest,
+}
+
+impl StreamedClientBody {
     fn poll_chunk(
         &mut self,
         cx: &mut Context<'_>,
@@ -171,11 +184,11 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
-        match self.get_mut() {
-            ClientResponseBody::Buffered(body) => Pin::new(body)
+        match &mut self.get_mut().content {
+            ClientBodyContent::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            ClientResponseBody::Streamed(response) => {
+            ClientBodyContent::Streamed(response) => {
                 let chunk = ready!(response.poll_chunk(cx));
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -183,16 +196,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            ClientResponseBody::Buffered(body) => body.is_end_stream(),
-            ClientResponseBody::Streamed(response) => response.stream.is_exhausted(),
+        match &self.content {
+            ClientBodyContent::Buffered(body) => body.is_end_stream(),
+            ClientBodyContent::Streamed(response) => response.stream.is_exhausted(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            ClientResponseBody::Buffered(body) => body.size_hint(),
-            ClientResponseBody::Streamed(response) => response
+        match &self.content {
+            ClientBodyContent::Buffered(body) => body.size_hint(),
+            ClientBodyContent::Streamed(response) => response
                 .stream
                 .remaining
                 .map_or_else(SizeHint::default, SizeHint::with_exact),
--- a/balancer/src/inbound/client_connection.rs
+++ b/balancer/src/inbound/client_connection.rs
@@ -1,7 +1,9 @@
 //! The state of one client connection, which its task and its requests share.
+use crate::body::limits::BODY_STALL_TIMEOUT;
 use crate::body::time_limited_body::REQUEST_READ_TIMEOUT;
 use crate::inbound::idle_connections::{ConnectionKind, IdleConnections, IdleKey};
 use crate::inbound::request_tracker::RequestTracker;
+use crate::inbound::response_delivery::{RegisteredDelivery, ResponseDeliveries, ResponseDelivery};
 use crate::net::shared_stream::SharedStream;
 use crate::net::tcp_stream::TcpStream;
 use crate::time::sleep_until;
@@ -21,7 +23,9 @@
     tracker: Rc<RequestTracker>,
     stream: SharedStream,
     idle_connections: Rc<IdleConnections>,
-    /// Key among the idle connections; `None` while the connection carries a request.
+    /// How far its responses are delivered.
+    delivery: RegisteredDelivery,
+    /// Key among the idle connections; `None` until the responses to all requests are delivered.
     idle_key: Cell<Option<IdleKey>>,
     /// Notified when the connection is evicted.
     evict: Rc<Notify>,
@@ -36,11 +40,13 @@
     pub fn new_idle(
         stream: TcpStream,
         idle_connections: &Rc<IdleConnections>,
+        deliveries: &Rc<ResponseDeliveries>,
     ) -> Rc<ClientConnection> {
         let connection = Rc::new(ClientConnection {
             tracker: RequestTracker::new(),
             stream: SharedStream::new(stream, Rc::default()),
             idle_connections: idle_connections.clone(),
+            delivery: deliveries.register(),
             idle_key: Cell::new(None),
             evict: Rc::new(Notify::new()),
             discards_input_before_close: Cell::new(false),
@@ -59,7 +65,21 @@
         &self.stream
     }
 
-    /// Whether the connection carries no request now.
+    /// How far the connection's responses are delivered.
+    pub fn delivery(&self) -> &ResponseDelivery {
+        &self.delivery
+    }
+
+    /// The socket has accepted all that hyper had to write. The connection is idle if this completes
+    /// its last response.
+    pub fn record_flushed(&self) {
+        if self.delivery.record_flushed() {
+            self.tracker.restart_wait();
+            self.mark_idle(ConnectionKind::Used);
+        }
+    }
+
+    /// Whether the connection carries no request now, and its last response is delivered.
     pub fn is_idle(&self) -> bool {
         self.idle_key.get().is_some()
     }
@@ -93,24 +113,32 @@
         self.discards_input_before_close.set(discards);
     }
 
-    /// Returns once the time limit for the client's next request has passed.
+    /// Returns once the time limit for the client's next request has passed, or for taking the end
+    /// of its last response.
     pub async fn timed_out(&self) {
         loop {
             let now = Instant::now();
-            let is_idle = self.is_idle();
-            let timeout_at = self.tracker.waiting_since() + self.read_timeout();
-            if is_idle && now >= timeout_at {
-                return;
-            }
             // A partial head may arrive at any time and changes the timeout.
             let next_check_at = now + TIMEOUT_CHECK_INTERVAL;
-            let wake_at = if is_idle {
-                timeout_at.min(next_check_at)
-            } else {
-                next_check_at
-            };
-            sleep_until(wake_at).await;
+            let timeout_at = self.timeout_at().unwrap_or(next_check_at);
+            if now >= timeout_at {
+                return;
+            }
+            sleep_until(timeout_at.min(next_check_at)).await;
+        }
+    }
+
+    /// When the connection times out, as of now. `None` while its request or the rest of its
+    /// response is awaited, which other parts limit.
+    fn timeout_at(&self) -> Option<Instant> {
+        if self.is_idle() {
+            return Some(self.tracker.waiting_since() + self.read_timeout());
+        }
+        if self.delivery.has_open_request() {
+            return None;
         }
+        let blocked_since = self.delivery.blocked_since()?;
+        Some(blocked_since + BODY_STALL_TIMEOUT)
     }
 
     fn read_timeout(&self) -> Duration {
@@ -122,7 +150,8 @@
     }
 }
 
-/// Marks a connection as carrying a request; the connection is idle again when this is dropped.
+/// Marks a connection as carrying a request. When this is dropped, hyper has taken all of the
+/// response; the connection is idle again once that is written.
 pub struct ActiveRequestGuard {
     connection: Rc<ClientConnection>,
 }
@@ -131,6 +160,7 @@
     /// Marks the connection as carrying a request.
     pub fn new(connection: &Rc<ClientConnection>) -> ActiveRequestGuard {
         connection.unmark_idle();
+        connection.delivery.begin_request();
         ActiveRequestGuard {
             connection: connection.clone(),
         }
@@ -144,7 +174,6 @@
 
 impl Drop for ActiveRequestGuard {
     fn drop(&mut self) {
-        self.connection.tracker.restart_wait();
-        self.connection.mark_idle(ConnectionKind::Used);
+        self.connection.delivery.end_request();
     }
 }
--- a/balancer/src/inbound/connection_task.rs
+++ b/balancer/src/inbound/connection_task.rs
@@ -3,7 +3,7 @@
 use crate::inbound::client_connection::{ActiveRequestGuard, ClientConnection};
 use crate::inbound::context::ServerContext;
 use crate::inbound::request_handler::respond;
-use crate::inbound::request_tracker::TrackedStream;
+use crate::inbound::tracked_stream::TrackedStream;
 use crate::net::descriptor_budget::ConnectionPermit;
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use crate::telemetry::metrics::CloseReason;
@@ -62,7 +62,7 @@
             Ok::<_, Infallible>(respond(&context, request, active).await)
         }
     });
-    let stream = TrackedStream::new(connection.stream().clone(), connection.tracker().clone());
+    let stream = TrackedStream::new(connection);
     let http = pin!(http1::Builder::new()
         // A client that closes its sending side still gets its response.
         .half_close(true)
@@ -147,7 +147,8 @@
 /// response.
 fn record_closed(context: &ServerContext, connection: &ClientConnection, reason: CloseReason) {
     context.metrics.record_connection_closed(reason);
-    let has_request = !connection.is_idle() || connection.tracker().has_undispatched_request();
+    let has_request =
+        connection.delivery().has_open_request() || connection.tracker().has_undispatched_request();
     let unanswered =
         has_request && reason != CloseReason::Malformed && !connection.stream().peer_disconnected();
     tracing::debug!(
--- a/balancer/src/inbound/context.rs
+++ b/balancer/src/inbound/context.rs
@@ -1,6 +1,7 @@
 //! The state that all client connections share.
 use crate::control::driver::DriverHandle;
 use crate::inbound::idle_connections::IdleConnections;
+use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::phase::Phase;
@@ -26,6 +27,8 @@
     pub phase: watch::Receiver<Phase>,
     /// The connections that carry no request now.
     pub idle_connections: Rc<IdleConnections>,
+    /// How far the responses on all connections are delivered.
+    pub deliveries: Rc<ResponseDeliveries>,
     /// Whether connections are accepted.
     pub is_listening: Cell<bool>,
 }
--- a/balancer/src/inbound/mod.rs
+++ b/balancer/src/inbound/mod.rs
@@ -8,5 +8,7 @@
 mod request_handler;
 mod request_head;
 mod request_tracker;
+pub(crate) mod response_delivery;
 mod responses;
 pub(crate) mod server;
+mod tracked_stream;
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -39,7 +39,7 @@
 const SERVICE_PATH: &str = "/api";
 const SERVICE_PREFIX: &str = "/api/";
 
-/// A response to a client. While its body is streamed, the connection counts as active.
+/// A response to a client. The connection counts as active until all of it is written.
 type Response = ClientResponse<ActiveRequestGuard>;
 
 /// Why a request is answered without being submitted to the driver, or why the driver rejected it.
@@ -110,19 +110,22 @@
     let connection = active.connection().clone();
     // The request may have waited behind another one on its connection, or in the listener's queue.
     let head_arrived_at = connection.tracker().record_dispatch();
-    let routed = route(context, request, active, head_arrived_at).await;
-    finish_response(context, &connection, routed)
+    let routed = route(context, request, &connection, head_arrived_at).await;
+    let mut response = finish_response(context, &connection, routed);
+    connection.delivery().begin_response();
+    response.body_mut().hold(active);
+    response
 }
 
 async fn route(
     context: &ServerContext,
     request: Request<Incoming>,
-    active: ActiveRequestGuard,
+    connection: &ClientConnection,
     head_arrived_at: Instant,
 ) -> RoutedResponse {
     // Guards against request smuggling: no further request is read from the connection after a head
     // with ambiguous framing, nor after a chunked body, whose end the tracker does not determine.
-    if active.connection().tracker().is_framing_ambiguous() {
+    if connection.tracker().is_framing_ambiguous() {
         let text = AmbiguousFraming.to_string();
         return RoutedResponse {
             response: input_error_response(StatusCode::BAD_REQUEST, &text),
@@ -134,7 +137,7 @@
     let mut routed = match request.uri().path() {
         READY_PATH => empty_response(readiness_status(context)).into(),
         path if path == SERVICE_PATH || path.starts_with(SERVICE_PREFIX) => {
-            serve(context, request, active, head_arrived_at).await
+            serve(context, request, connection, head_arrived_at).await
         }
         _ => empty_response(StatusCode::NOT_FOUND).into(),
     };
@@ -157,14 +160,16 @@
 async fn serve(
     context: &ServerContext,
     request: Request<Incoming>,
-    active: ActiveRequestGuard,
+    connection: &ClientConnection,
     head_arrived_at: Instant,
 ) -> RoutedResponse {
-    let connection = active.connection().clone();
-    let submitted = match submit(context, request, &connection, head_arrived_at).await {
+    let submitted = match submit(context, request, connection, head_arrived_at).await {
         Ok(submitted) => submitted,
         Err(error) => return error.response().into(),
     };
+    connection
+        .delivery()
+        .await_response(submitted.upload.clone());
     // Dropping the response future notifies the driver that the client has disconnected.
     let final_response = tokio::select! {
         biased;
@@ -180,7 +185,7 @@
     RoutedResponse {
         has_unread_body: submitted.upload.is_some_and(|upload| !upload.is_complete()),
         closes_connection: final_response.is_none(),
-        response: response_to_client(final_response, submitted.in_flight, active),
+        response: response_to_client(final_response, submitted.in_flight),
     }
 }
 
@@ -190,10 +195,9 @@
 fn response_to_client(
     final_response: Option<FinalResponse>,
     in_flight: InFlightRequest,
-    active: ActiveRequestGuard,
 ) -> Response {
     match final_response {
-        Some(response) => client_response(response, in_flight, active),
+        Some(response) => client_response(response, in_flight),
         None => empty_response(StatusCode::BAD_GATEWAY),
     }
 }
--- a/balancer/src/inbound/responses.rs
+++ b/balancer/src/inbound/responses.rs
@@ -1,14 +1,13 @@
 //! Responses to clients.
-use crate::body::response_body::{ClientResponseBody, StreamedClientBody, UpstreamResponseBody};
+use crate::body::response_body::{ClientResponseBody, UpstreamResponseBody};
 use crate::outbound::message::FinalResponse;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use balancer_core::Millis;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 
-/// A response to a client. A streamed body holds a guard of type `G` until the body is dropped.
+/// A response to a client. Its body may hold a guard of type `G` until the body is dropped.
 pub type ClientResponse<G> = Response<ClientResponseBody<G>>;
 
 /// A response with this status and without a body.
@@ -22,7 +21,7 @@
 }
 
 fn response_with_body<G>(status: StatusCode, body: Bytes) -> ClientResponse<G> {
-    let mut response = Response::new(ClientResponseBody::Buffered(Full::new(body)));
+    let mut response = Response::new(ClientResponseBody::buffered(body));
     *response.status_mut() = status;
     response
 }
@@ -41,15 +40,13 @@
 }
 
 /// Converts the final response of a request to its response to the client. Sets the request's
-/// outcome; that of a streamed body is set at the end of the body. A streamed body holds `guard`
-/// until the body is dropped.
+/// outcome; that of a streamed body is set at the end of the body.
 pub fn client_response<G>(
     final_response: FinalResponse,
     request: InFlightRequest,
-    guard: G,
 ) -> ClientResponse<G> {
     match final_response {
-        FinalResponse::Served { headers, body } => served_response(headers, body, request, guard),
+        FinalResponse::Served { headers, body } => served_response(headers, body, request),
         FinalResponse::Rejected { retry_after } => {
             request.set_outcome(RequestOutcome::Rejected);
             rejection(retry_after)
@@ -73,16 +70,13 @@
     headers: HeaderMap,
     body: UpstreamResponseBody,
     request: InFlightRequest,
-    guard: G,
 ) -> ClientResponse<G> {
     let body = match body {
         UpstreamResponseBody::Buffered(body) => {
             request.set_outcome(RequestOutcome::Served);
-            ClientResponseBody::Buffered(Full::new(body))
-        }
-        UpstreamResponseBody::Streamed(stream) => {
-            ClientResponseBody::Streamed(StreamedClientBody::new(stream, request, guard))
+            ClientResponseBody::buffered(body)
         }
+        UpstreamResponseBody::Streamed(stream) => ClientResponseBody::streamed(stream, request),
     };
     let mut response = Response::new(body);
     *response.headers_mut() = headers;
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -4,6 +4,7 @@
 use crate::inbound::client_connection::ClientConnection;
 use crate::inbound::connection_task::serve_connection;
 use crate::inbound::context::ServerContext;
+use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::{is_resource_shortage, ConnectionPermit, DescriptorBudget};
 use crate::net::listener::{register_accepted, Listener};
@@ -36,7 +37,8 @@
 }
 
 impl Server {
-    /// A server that submits requests to `driver`, and opens connections within `descriptors`.
+    /// A server that submits requests to `driver`, opens connections within `descriptors`, and
+    /// records in `deliveries` how far their responses are delivered.
     pub fn new(
         driver: DriverHandle,
         deployment: Deployment,
@@ -44,6 +46,7 @@
         metrics: Rc<Metrics>,
         guard: Guard,
         phase: watch::Receiver<Phase>,
+        deliveries: Rc<ResponseDeliveries>,
     ) -> Server {
         Server {
             context: Rc::new(ServerContext {
@@ -54,6 +57,7 @@
                 guard,
                 phase,
                 idle_connections: Rc::default(),
+                deliveries,
                 is_listening: Cell::new(true),
             }),
         }
@@ -255,7 +259,8 @@
     permit: ConnectionPermit,
     arrived_at: Instant,
 ) {
-    let connection = ClientConnection::new_idle(stream, &context.idle_connections);
+    let connection =
+        ClientConnection::new_idle(stream, &context.idle_connections, &context.deliveries);
     connection.stream().record_unread(arrived_at);
     tokio::task::spawn_local(serve_connection(context, connection, permit));
 }
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -10,6 +10,7 @@
 use crate::control::driver::DriverHandle;
 use crate::discovery::endpoints::EndpointUpdate;
 use crate::harmless_panic;
+use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::inbound::server::Server;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
@@ -76,6 +77,8 @@
     descriptors: DescriptorBudget,
     guard: Guard,
     phase: Rc<watch::Sender<Phase>>,
+    /// How far the responses to clients are delivered.
+    deliveries: Rc<ResponseDeliveries>,
 }
 
 impl ProcessContext {
@@ -92,6 +95,7 @@
                 config.max_descriptors.saturating_sub(admin_descriptors),
             ),
             phase: Rc::new(watch::Sender::new(Phase::Starting)),
+            deliveries: Rc::default(),
         }
     }
 }
@@ -187,7 +191,9 @@
         shutdown
             .advance_to_closing(self.coordinator.as_deref(), &self.context.phase)
             .await;
-        shutdown.wait_for_clients(&self.driver, self.server).await;
+        shutdown
+            .wait_for_clients(&self.driver, &self.context.deliveries, self.server)
+            .await;
     }
 }
 
@@ -327,6 +333,7 @@
         context.metrics.clone(),
         context.guard.clone(),
         context.phase.subscribe(),
+        context.deliveries.clone(),
     );
     let task = tokio::task::spawn_local(server.run(listener));
     Ok((task, local_address))
--- a/balancer/src/process/shutdown.rs
+++ b/balancer/src/process/shutdown.rs
@@ -1,6 +1,8 @@
 //! The shutdown of the process, from the signal to the last response.
 use crate::admin::process_coordinator::ProcessCoordinator;
+use crate::body::limits::BODY_STALL_TIMEOUT;
 use crate::control::driver::DriverHandle;
+use crate::inbound::response_delivery::{ResponseDeliveries, ResponseDelivery};
 use crate::phase::Phase;
 use crate::process::shutdown_schedule::{ShutdownSchedule, ACCEPT_PERIOD};
 use crate::telemetry::log::log_line;
@@ -10,10 +12,11 @@
 use tokio::task::{JoinError, JoinHandle};
 use tokio::time::Instant;
 
-/// Interval between two checks whether responses are still being relayed.
-const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Relayed responses are cut off this long after the signal, unless the process was killed before.
-const MAX_RELAY_PERIOD: Duration = Duration::from_secs(30);
+/// Interval between two checks whether responses are still being delivered.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// A client that has taken nothing of its response for this long, nor since the signal, does not
+/// delay the exit. One that reads at 64 kB/s takes something more often.
+const UNREAD_RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A shutdown in progress.
 pub struct Shutdown<'a> {
@@ -55,28 +58,48 @@
         }
     }
 
-    /// Waits until all clients are served, for as long as the schedule allows.
-    pub async fn wait_for_clients(&self, driver: &DriverHandle, server: JoinHandle<()>) {
+    /// Waits until all clients have closed their connections, for as long as the schedule allows. After that, waits
+    /// for clients that are still taking their responses.
+    pub async fn wait_for_clients(
+        &self,
+        driver: &DriverHandle,
+        deliveries: &ResponseDeliveries,
+        server: JoinHandle<()>,
+    ) {
+        let name = self.name;
         let server = self.run_until_pending_failed(driver, server);
         tokio::pin!(server);
         let exit_at = self.requested_at + self.schedule.exit_after;
         let mut check_at = exit_at;
         while timeout_at(check_at, &mut server).await.is_err() {
-            let name = self.name;
-            let active = driver.active_requests();
-            if active == 0 || check_at >= self.requested_at + MAX_RELAY_PERIOD {
+            let awaited = deliveries.count_outstanding(|delivery| self.delays_exit(delivery));
+            if awaited == 0 {
+                let cut_off = deliveries.count_outstanding(|_| true);
                 log_line!(
-                    "{name}: clients are still connected at the end of the shutdown: {active} responses are cut off"
+                    "{name}: clients are still connected at the end of the shutdown: {cut_off} responses are cut off"
                 );
                 return;
             }
             if check_at == exit_at {
-                log_line!("{name}: exit is delayed: {active} responses are still being relayed");
+                log_line!("{name}: exit is delayed: {awaited} responses are still being relayed");
             }
-            check_at += RELAY_CHECK_INTERVAL;
+            check_at += DELIVERY_CHECK_INTERVAL;
         }
     }
 
+    /// Whether the exit waits for an outstanding response: its client takes what there is.
+    fn delays_exit(&self, delivery: &ResponseDelivery) -> bool {
+        let Some(blocked_since) = delivery.blocked_since() else {
+            return true;
+        };
+        let limit = if blocked_since < self.requested_at {
+            UNREAD_RESPONSE_TIMEOUT
+        } else {
+            BODY_STALL_TIMEOUT
+        };
+        blocked_since.elapsed() < limit
+    }
+
     /// Waits for the server to end. Fails the requests that are still pending at the schedule's `fail_pending_after`.
     async fn run_until_pending_failed(
         &self,
--- a/balancer/tests/common/listeners.rs
+++ b/balancer/tests/common/listeners.rs
@@ -1,4 +1,4 @@
-//! Addresses to which connections fail.
+//! Addresses to which connections fail, and connections with unusual sockets.
 use super::with_read_timeout;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -64,6 +64,16 @@
     }
 }
 
+/// A connection with small segments and a small receive buffer, so that its peer's socket holds
+/// little.
+pub fn connect_with_small_buffers(address: SocketAddr) -> BufReader<TcpStream> {
+    let socket = tcp_socket();
+    socket.set_tcp_mss(536).expect("sets TCP_MAXSEG");
+    socket.set_recv_buffer_size(4096).expect("sets SO_RCVBUF");
+    socket.connect(&address.into()).expect("connects");
+    with_read_timeout(socket.into())
+}
+
 fn tcp_socket() -> socket2::Socket {
     socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
         .expect("creates a socket")
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -11,10 +11,13 @@
 mod http;
 mod listeners;
 mod memory;
+mod piecewise;
 mod raw_http;
 mod scripted_discovery;
+mod slow_reader;
 mod stub_discovery;
 mod stub_upstream;
+mod wire_body;
 
 pub use admin::*;
 pub use balancer_process::*;
@@ -23,10 +26,13 @@
 pub use http::*;
 pub use listeners::*;
 pub use memory::*;
+pub use piecewise::*;
 pub use raw_http::*;
 pub use scripted_discovery::*;
+pub use slow_reader::*;
 pub use stub_discovery::*;
 pub use stub_upstream::*;
+pub use wire_body::*;
 
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
--- a/balancer/tests/common/raw_http.rs
+++ b/balancer/tests/common/raw_http.rs
@@ -2,6 +2,7 @@
 use super::{payment_request, with_read_timeout};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::thread;
 
 /// Starts an upstream that calls `serve` for each connection, one after another.
@@ -18,6 +19,22 @@
     address
 }
 
+/// Starts an upstream that calls `serve` for each connection, each in a thread of its own.
+pub fn start_threaded_upstream(
+    serve: impl Fn(&mut BufReader<TcpStream>) + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(&mut with_read_timeout(stream)));
+        }
+    });
+    address
+}
+
 /// Reads a head up to its empty line.
 pub fn read_head(from: &mut BufReader<TcpStream>) -> String {
     let mut head = String::new();
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -2,10 +2,9 @@
 mod common;
 
 use common::*;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::thread::{self, sleep};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::thread::sleep;
 use std::time::Duration;
 
 /// A pair of limits that the operators' pages print.
@@ -21,71 +20,9 @@
 const WRITTEN_OF_LARGE_BODY_BYTES: usize = 192 << 10;
 /// Sizes of the pieces that are written.
 const PIECE_SIZES: [usize; 3] = [64, 320, 1400];
-/// Pause after a round in which each peer has written a piece. The balancer reads it meanwhile.
-const PAUSE: Duration = Duration::from_millis(2);
 /// Longer than a play.
 const HANG_TIME: Duration = Duration::from_secs(25);
 
-#[derive(Clone, Copy, Debug)]
-enum Framing {
-    Length,
-    Chunked,
-}
-
-const FRAMINGS: [Framing; 2] = [Framing::Length, Framing::Chunked];
-
-/// A body on the wire, and the header that states its framing. A chunk is as long as a piece.
-struct WireBody {
-    header: String,
-    bytes: Vec<u8>,
-}
-
-impl WireBody {
-    fn new(framing: Framing, length: usize, piece: usize) -> WireBody {
-        let body = test_bytes(length);
-        match framing {
-            Framing::Length => WireBody {
-                header: format!("Content-Length: {length}"),
-                bytes: body,
-            },
-            Framing::Chunked => WireBody {
-                header: "Transfer-Encoding: chunked".to_string(),
-                bytes: body.chunks(piece).flat_map(chunk).collect(),
-            },
-        }
-    }
-}
-
-fn chunk(data: &[u8]) -> Vec<u8> {
-    let size = format!("{:x}\r\n", data.len());
-    [size.as_bytes(), data, b"\r\n"].concat()
-}
-
-/// Writes these bytes to each of the streams in pieces, so that the balancer reads each piece alone.
-fn write_in_pieces(streams: &mut [TcpStream], bytes: &[u8], piece: usize) {
-    for part in bytes.chunks(piece) {
-        for stream in &mut *streams {
-            // The balancer may have stopped reading, and the buffers may be full.
-            let _ = stream.write(part);
-        }
-        sleep(PAUSE);
-    }
-}
-
-/// Starts an upstream with a thread for each connection.
-fn start_upstream(serve: impl Fn(&mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-    let address = listener.local_addr().expect("an address");
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            thread::spawn(move || serve(&mut with_read_timeout(stream)));
-        }
-    });
-    address
-}
-
 fn start_balancer(upstream: SocketAddr) -> BalancerProcess {
     let discovery = StubDiscovery::start();
     let config = balancer_config(discovery.address, SOCKETS, &active_endpoints(&[upstream]));
@@ -94,21 +31,6 @@
     BalancerProcess::run(balancer_command(&config), discovery)
 }
 
-/// Connections whose writes do not wait.
-fn connect_clients(balancer: &BalancerProcess) -> Vec<TcpStream> {
-    let connect = |_| {
-        let stream = TcpStream::connect(balancer.address).expect("connects");
-        prepare_for_pieces(&stream);
-        stream
-    };
-    (0..CLIENTS).map(connect).collect()
-}
-
-fn prepare_for_pieces(stream: &TcpStream) {
-    stream.set_nonblocking(true).expect("sets O_NONBLOCK");
-    stream.set_nodelay(true).expect("sets TCP_NODELAY");
-}
-
 fn expect_within_limit(sampler: MemorySampler, play: &str) {
     let peak_kb = sampler.stop();
     assert!(
@@ -119,17 +41,17 @@
 
 /// Clients write requests with bodies in pieces. The upstream reads no body.
 fn play_uploads(framing: Framing, length: usize, written: usize, piece: usize) {
-    let upstream = start_upstream(|stream| {
+    let upstream = start_threaded_upstream(|stream| {
         read_head(stream);
         sleep(HANG_TIME);
     });
     let balancer = start_balancer(upstream);
-    let mut clients = connect_clients(&balancer);
+    let mut clients = connect_piecewise(balancer.address, CLIENTS);
     let sampler = balancer.sample_memory();
     let body = WireBody::new(framing, length, piece);
     for (id, client) in clients.iter_mut().enumerate() {
         let head = upload_head(&id.to_string(), &body.header);
-        client.write_all(head.as_bytes()).expect("writes a head");
+        assert_eq!(client.write(head.as_bytes()).ok(), Some(head.len()));
     }
     let written = written.min(body.bytes.len());
     write_in_pieces(&mut clients, &body.bytes[..written], piece);
--- a/balancer/tests/upload_time.rs
+++ b/balancer/tests/upload_time.rs
@@ -21,15 +21,6 @@
 /// Longer than a test waits for a response.
 const HANG_TIME: Duration = Duration::from_secs(25);
 
-/// How a client states where the body ends.
-#[derive(Clone, Copy, Debug)]
-enum Framing {
-    Length,
-    Chunked,
-}
-
-const FRAMINGS: [Framing; 2] = [Framing::Length, Framing::Chunked];
-
 /// A payment request with a body of `length` bytes whose client waits for `time`.
 fn upload(framing: Framing, length: usize, time: Duration) -> Vec<u8> {
     let body = test_bytes(length);
