Limit the memory of buffered bodies to what memory_mb leaves

Cause: memory_mb was read by nobody. Only the descriptors limited how many bodies are buffered.

Change: a budget of memory, from the limit, the open connections and 4 MB for the process. Buffers reserve what they allocate for as long as the bytes live. Without memory a small request is rejected with 503 before anything was sent, the start of a large one is not kept for a further attempt, and responses wait or are relayed. Two processes of an upgrade have half of the limit each. Buffers allocate a stated length at once, since growing ones left gaps.

--- a/balancer/src/body/body_buffer.rs
+++ b/balancer/src/body/body_buffer.rs
@@ -4,30 +4,54 @@
 //! hyper hands out each chunk of a body as a slice of the buffer that it was read into. The slice
 //! keeps that buffer allocated, several kilobytes for as little as one byte. So bytes that are kept
 //! are copied into memory of their own size.
+use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
+use crate::net::memory_budget::{MemoryBudget, MemoryExhausted, Reservation};
+use crate::time::sleep;
 use bytes::Bytes;
+use std::time::Duration;
 
 /// Most bytes of one chunk that [`BodyBuffer::chunk_at`] copies out.
 const MAX_COPIED_CHUNK_BYTES: usize = 16 << 10;
+/// Memory for the first bytes of a body of unstated length, most of which are short.
+const UNSTATED_LENGTH_CAPACITY: usize = 4 << 10;
+/// Interval between two checks whether there is memory again.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A copy of a chunk that is to be kept.
 pub fn copy_of(chunk: &[u8]) -> Bytes {
     Bytes::copy_from_slice(chunk)
 }
 
-/// The bytes of a body so far, in memory that grows with them.
+/// The bytes of a body so far.
 pub struct BodyBuffer {
     bytes: Vec<u8>,
-    /// Length of the complete body, if its sender stated it; the buffer allocates no more.
-    stated_length: Option<usize>,
+    /// How much the buffer allocates for its first bytes.
+    first_capacity: usize,
+    memory: MemoryBudget,
+    reservation: Reservation,
+}
+
+/// The bytes of a complete buffer, whose memory stays reserved while they live.
+struct ReservedBytes {
+    bytes: Box<[u8]>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl BodyBuffer {
-    /// An empty buffer for a body of `stated_length` bytes. Allocates nothing yet: the sender may
-    /// state a length and send nothing.
-    pub fn new(stated_length: Option<u64>) -> BodyBuffer {
+    /// An empty buffer for a body of `stated_length` bytes, in memory of `memory`. Allocates nothing
+    /// yet: the sender may state a length and send nothing.
+    pub fn new(stated_length: Option<u64>, memory: &MemoryBudget) -> BodyBuffer {
         BodyBuffer {
             bytes: Vec::new(),
-            stated_length: stated_length.and_then(|length| usize::try_from(length).ok()),
+            memory: memory.clone(),
+            reservation: memory.reservation(),
+            first_capacity: stated_length.map_or(UNSTATED_LENGTH_CAPACITY, first_capacity),
         }
     }
 
@@ -36,9 +60,24 @@
         self.bytes.len()
     }
 
-    /// Appends a copy of `chunk`.
-    pub fn append(&mut self, chunk: &[u8]) {
-        self.reserve(chunk.len());
+    /// Appends a copy of `chunk`. Appends nothing if there is too little memory.
+    pub fn append(&mut self, chunk: &[u8]) -> Result<(), MemoryExhausted> {
+        self.reserve(chunk.len())?;
+        self.bytes.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    /// Waits until there is memory for the first bytes, or for all of a small body of stated length,
+    /// and allocates it. The caller limits the time.
+    pub async fn allocate_first_bytes(&mut self) {
+        while self.reserve(self.first_capacity).is_err() {
+            sleep(MEMORY_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Appends a copy of the last `chunk` of this buffer, for which no memory could be reserved.
+    pub fn append_beyond_budget(&mut self, chunk: &[u8]) {
+        self.bytes.reserve_exact(chunk.len());
         self.bytes.extend_from_slice(chunk);
     }
 
@@ -51,23 +90,42 @@
 
     /// The bytes, without unused memory.
     pub fn into_bytes(self) -> Bytes {
-        self.bytes.into_boxed_slice().into()
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(ReservedBytes {
+            bytes: self.bytes.into_boxed_slice(),
+            _reservation: self.reservation,
+        })
     }
 
-    /// Doubles the allocation where `additional` bytes do not fit, but not beyond the stated length.
-    fn reserve(&mut self, additional: usize) {
+    /// Allocates memory for `additional` bytes where they do not fit.
+    fn reserve(&mut self, additional: usize) -> Result<(), MemoryExhausted> {
         let required = self.bytes.len() + additional;
         if required <= self.bytes.capacity() {
-            return;
+            return Ok(());
         }
-        let doubled = self.bytes.capacity() * 2;
-        let capacity = self
-            .stated_length
-            .map_or(doubled, |length| doubled.min(length));
-        let capacity = capacity.max(required);
+        let capacity = self.next_capacity().max(required);
+        let growth = capacity - self.bytes.capacity();
+        self.reservation.grow(&self.memory, growth)?;
         self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    /// The next of few sizes: memory that is allocated again and again leaves gaps.
+    fn next_capacity(&self) -> usize {
+        match self.bytes.capacity() {
+            0 => self.first_capacity,
+            capacity => (2 * capacity).max(MAX_BUFFERED_BODY_BYTES),
+        }
     }
 }
 
+/// All that the buffer may have to hold of a body of this length.
+fn first_capacity(stated_length: u64) -> usize {
+    let length = usize::try_from(stated_length).unwrap_or(usize::MAX);
+    length.min(MAX_BUFFERED_BODY_BYTES)
+}
+
 #[cfg(test)]
 mod tests;
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -36,7 +36,8 @@
 
 struct UploadState {
     body: TimeLimitedBody,
-    /// All bytes received, while they are not more than [`MAX_BUFFERED_BODY_BYTES`].
+    /// All bytes received, while they are not more than [`MAX_BUFFERED_BODY_BYTES`] and memory is
+    /// left.
     buffered: Option<BodyBuffer>,
     is_complete: bool,
 }
@@ -60,16 +61,18 @@
         progress
     }
 
-    /// Buffers a chunk while all of the body fits. Returns whether the buffer was released.
+    /// Buffers a chunk while all of the body fits and memory is left. Returns whether the buffer was
+    /// released.
     fn buffer_or_release(&mut self, chunk: &Bytes) -> bool {
         let fits = self.body.bytes_received() <= MAX_BUFFERED_BODY_BYTES as u64;
-        match &mut self.buffered {
-            Some(buffered) if fits => {
-                buffered.append(chunk);
-                false
-            }
-            _ => self.buffered.take().is_some(),
+        let Some(buffered) = &mut self.buffered else {
+            return false;
+        };
+        if fits && buffered.append(chunk).is_ok() {
+            return false;
         }
+        self.buffered = None;
+        true
     }
 }
 
--- a/balancer/src/control/driver/tests.rs
+++ b/balancer/src/control/driver/tests.rs
@@ -5,6 +5,7 @@
 use crate::discovery::endpoints::ListedEndpoint;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::outbound::attempt::Transport;
 use crate::outbound::connector::Connector;
 use crate::outbound::dispatch::Dispatch;
@@ -33,17 +34,14 @@
 
 fn driver() -> DriverHandle {
     let clock = Clock::start();
-    let connector = Connector::new(
-        LONG_TIMEOUT,
-        LONG_TIMEOUT,
-        DescriptorBudget::new(64),
-        Rc::default(),
-    );
+    let descriptors = DescriptorBudget::new(64);
+    let memory = MemoryBudget::new(None, descriptors.clone());
+    let connector = Connector::new(LONG_TIMEOUT, LONG_TIMEOUT, descriptors, Rc::default());
     let guard = Guard::new(Metrics::new(&[]));
     DriverHandle::new(DriverOptions {
         balancer: Balancer::new(settings(), 1, clock.now()).expect("valid settings"),
         clock,
-        dispatch: Dispatch::Sockets(Transport::new(connector, guard.clone())),
+        dispatch: Dispatch::Sockets(Transport::new(connector, guard.clone(), memory)),
         drain_grace: LONG_TIMEOUT,
         max_pending_requests: 10,
         idempotency_by_class: vec![Idempotency::Idempotent],
--- a/balancer/src/inbound/context.rs
+++ b/balancer/src/inbound/context.rs
@@ -4,6 +4,7 @@
 use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::phase::Phase;
 use crate::telemetry::metrics::Metrics;
 use balancer_settings::Deployment;
@@ -19,6 +20,8 @@
     pub deployment: Deployment,
     /// Limits the number of connections.
     pub descriptors: DescriptorBudget,
+    /// Limits the memory of buffered bodies.
+    pub memory: MemoryBudget,
     /// Counts requests and connections.
     pub metrics: Rc<Metrics>,
     /// Checks that requests get a response.
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -16,6 +16,7 @@
 use crate::inbound::responses::{
     client_response, empty_response, input_error_response, rejection, ClientResponse,
 };
+use crate::net::memory_budget::{MemoryBudget, MemoryExhausted};
 use crate::net::peer::Peer;
 use crate::outbound::headers::{remove_hop_by_hop_headers, DEADLINE_HEADER};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
@@ -31,7 +32,8 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-/// `Retry-After` of a rejection because of too many pending requests, in milliseconds.
+/// `Retry-After` of a rejection because of too many pending requests or too little memory, in
+/// milliseconds.
 const AT_CAPACITY_RETRY_AFTER_MS: Millis = 500.0;
 /// Path of the readiness check.
 const READY_PATH: &str = "/-/ready";
@@ -49,6 +51,8 @@
     Head(#[from] HeadError),
     #[error(transparent)]
     Body(#[from] BodyError),
+    #[error(transparent)]
+    MemoryExhausted(#[from] MemoryExhausted),
     #[error("a GET request must not have a body")]
     UnexpectedBody,
     #[error("the client disconnected")]
@@ -68,7 +72,9 @@
             RequestError::Submit(SubmitError::DuplicateRequestId) => {
                 input_error_response(StatusCode::CONFLICT, &text)
             }
-            RequestError::Submit(SubmitError::AtCapacity) => rejection(AT_CAPACITY_RETRY_AFTER_MS),
+            RequestError::Submit(SubmitError::AtCapacity) | RequestError::MemoryExhausted(_) => {
+                rejection(AT_CAPACITY_RETRY_AFTER_MS)
+            }
             RequestError::ClientDisconnected => rejection(0.0),
         }
     }
@@ -165,7 +171,12 @@
 ) -> RoutedResponse {
     let submitted = match submit(context, request, connection, head_arrived_at).await {
         Ok(submitted) => submitted,
-        Err(error) => return error.response().into(),
+        Err(error) => {
+            return RoutedResponse {
+                has_unread_body: matches!(error, RequestError::MemoryExhausted(_)),
+                ..error.response().into()
+            }
+        }
     };
     connection
         .delivery()
@@ -238,7 +249,14 @@
     let head = RequestHead::parse(&parts.method, &parts.headers, &context.deployment)?;
     check_body(&parts.method, &body)?;
     let end = Rc::new(RequestEnd::new(connection.stream().peer(), head_arrived_at));
-    let body = read_body(TimeLimitedBody::new(body, time_waited), &end).await?;
+    let body = TimeLimitedBody::new(body, time_waited);
+    let body = read_body(body, &end, &context.memory).await;
+    if let Err(RequestError::MemoryExhausted(_)) = body {
+        context
+            .metrics
+            .record_completed(head.class, RequestOutcome::Rejected);
+    }
+    let body = body?;
     // An upload counts the time since its request's end itself.
     let time_used_ms = match &body {
         RequestBody::Buffered(_) => to_millis(end.earliest().elapsed()),
@@ -285,15 +303,16 @@
 async fn read_body(
     mut body: TimeLimitedBody,
     end: &Rc<RequestEnd>,
-) -> Result<RequestBody, BodyError> {
+    memory: &MemoryBudget,
+) -> Result<RequestBody, RequestError> {
     let stated_length = body.remaining_length();
     let mut is_large = stated_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
-    let mut buffered = BodyBuffer::new(stated_length);
+    let mut buffered = BodyBuffer::new(stated_length, memory);
     while !is_large {
         let Some(chunk) = body.next().await else {
             return Ok(RequestBody::Buffered(buffered.into_bytes()));
         };
-        buffered.append(&chunk?);
+        buffered.append(&chunk?)?;
         is_large = buffered.len() > MAX_BUFFERED_BODY_BYTES;
     }
     Ok(RequestBody::Streamed(Upload::new(
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -8,6 +8,7 @@
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::{is_resource_shortage, ConnectionPermit, DescriptorBudget};
 use crate::net::listener::{register_accepted, Listener};
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::tcp_stream::TcpStream;
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
@@ -31,33 +32,45 @@
 /// Interval between two attempts to evict a connection while no permit is free.
 const PERMIT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// What a server uses and reports to.
+pub struct ServerOptions {
+    /// Accepts the requests and selects their upstreams.
+    pub driver: DriverHandle,
+    /// The settings.
+    pub deployment: Deployment,
+    /// Limits the number of connections.
+    pub descriptors: DescriptorBudget,
+    /// Limits the memory of buffered bodies.
+    pub memory: MemoryBudget,
+    /// Counts requests and connections.
+    pub metrics: Rc<Metrics>,
+    /// Checks that requests get a response.
+    pub guard: Guard,
+    /// The phase of the process.
+    pub phase: watch::Receiver<Phase>,
+    /// How far the responses are delivered.
+    pub deliveries: Rc<ResponseDeliveries>,
+}
+
 /// Serves the clients of one listener.
 pub struct Server {
     context: Rc<ServerContext>,
 }
 
 impl Server {
-    /// A server that submits requests to `driver`, opens connections within `descriptors`, and
-    /// records in `deliveries` how far their responses are delivered.
-    pub fn new(
-        driver: DriverHandle,
-        deployment: Deployment,
-        descriptors: DescriptorBudget,
-        metrics: Rc<Metrics>,
-        guard: Guard,
-        phase: watch::Receiver<Phase>,
-        deliveries: Rc<ResponseDeliveries>,
-    ) -> Server {
+    /// A server with these parts.
+    pub fn new(options: ServerOptions) -> Server {
         Server {
             context: Rc::new(ServerContext {
-                driver,
-                deployment,
-                descriptors,
-                metrics,
-                guard,
-                phase,
+                driver: options.driver,
+                deployment: options.deployment,
+                descriptors: options.descriptors,
+                memory: options.memory,
+                metrics: options.metrics,
+                guard: options.guard,
+                phase: options.phase,
                 idle_connections: Rc::default(),
-                deliveries,
+                deliveries: options.deliveries,
                 is_listening: Cell::new(true),
             }),
         }
--- a/balancer/src/net/descriptor_budget.rs
+++ b/balancer/src/net/descriptor_budget.rs
@@ -111,6 +111,22 @@
         self.connections.available_permits() > self.max_connections as usize / 4
     }
 
+    /// How many connections are open in this process.
+    pub fn open_connections(&self) -> usize {
+        let yielded = if self.is_shared() {
+            self.max_connections / 2
+        } else {
+            0
+        };
+        let free = self.connections.available_permits();
+        ((self.max_connections - yielded) as usize).saturating_sub(free)
+    }
+
+    /// Whether half of the budget is yielded to another process.
+    pub fn is_shared(&self) -> bool {
+        !self.yielded.borrow().is_empty()
+    }
+
     /// Whether no permit is free.
     pub fn is_exhausted(&self) -> bool {
         self.connections.available_permits() == 0
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends a request to one upstream once, and receives its response.
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::invariants::{Guard, WriteConditions};
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::shared_stream::{SharedStream, WriteProgress};
 use crate::outbound::attempt::reception::StartedResponse;
 use crate::outbound::attempt_result::{AttemptResult, SendRequestError};
@@ -33,16 +34,18 @@
     connector: Connector,
     body_delay_on_pooled_connection: Duration,
     guard: Guard,
+    memory: MemoryBudget,
 }
 
 impl Transport {
     /// Creates a transport whose attempts use the connections of `connector`; `guard` checks their
-    /// writes.
-    pub fn new(connector: Connector, guard: Guard) -> Self {
+    /// writes, and `memory` limits the memory of buffered responses.
+    pub fn new(connector: Connector, guard: Guard, memory: MemoryBudget) -> Self {
         Transport {
             connector,
             body_delay_on_pooled_connection: BODY_DELAY_ON_POOLED_CONNECTION,
             guard,
+            memory,
         }
     }
 
--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -47,7 +47,7 @@
         }
         let outcome = outcome_of_response(&response);
         let (head, mut body) = response.into_parts();
-        let buffered = buffer_body(&mut body, declared_length).await?;
+        let buffered = buffer_body(&mut body, declared_length, &self.transport.memory).await?;
         if lease.is_revoked() {
             return Err(AttemptOutcome::Error);
         }
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -2,6 +2,7 @@
 use super::*;
 use crate::body::request_body::RequestBody;
 use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::outbound::connection_pool::{Connection, PooledConnection};
 use crate::outbound::surplus_history::SurplusCause;
 use crate::outbound::surplus_reporter::SurplusRecipient;
@@ -26,7 +27,12 @@
 }
 
 fn transport(descriptors: DescriptorBudget) -> Transport {
-    Transport::new(connector(descriptors), Guard::new(Metrics::new(&[])))
+    let memory = MemoryBudget::new(None, descriptors.clone());
+    Transport::new(
+        connector(descriptors),
+        Guard::new(Metrics::new(&[])),
+        memory,
+    )
 }
 
 async fn new_connection(
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -3,6 +3,7 @@
 use crate::body::body_buffer::{copy_of, BodyBuffer};
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
+use crate::net::memory_budget::MemoryBudget;
 use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::time::timeout_at;
@@ -25,16 +26,18 @@
 pub enum BufferedBody {
     /// The complete body.
     Complete(Bytes),
-    /// The start of a body that is large or slow; the rest is still to be read.
+    /// The start of a body that is large or slow, or for which too little memory is left; the rest is
+    /// still to be read.
     Partial(Bytes),
 }
 
-/// Buffers a body as long as it may be a small one. Nothing is read of a body that declares a large
-/// length. A body that declares a small length is read to its end, which only the attempt's timeout
-/// limits.
+/// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
+/// declares a large length. A body that declares a small length waits for memory and is read to its
+/// end, which only the attempt's timeout limits.
 pub async fn buffer_body(
     body: &mut Incoming,
     declared_length: Option<u64>,
+    memory: &MemoryBudget,
 ) -> Result<BufferedBody, AttemptOutcome> {
     if declares_large_body(declared_length) {
         return Ok(BufferedBody::Partial(Bytes::new()));
@@ -43,7 +46,8 @@
         Some(_) => None,
         None => Some(Instant::now() + UNDECLARED_LENGTH_BUFFER_TIME),
     };
-    let mut buffer = BodyBuffer::new(declared_length);
+    let mut buffer = BodyBuffer::new(declared_length, memory);
+    buffer.allocate_first_bytes().await;
     while buffer.len() <= MAX_BUFFERED_BODY_BYTES {
         // Before the first byte there is nothing to relay, so no deadline applies.
         let frame = match deadline {
@@ -57,8 +61,12 @@
             return Ok(BufferedBody::Complete(buffer.into_bytes()));
         };
         let frame = frame.map_err(|error| outcome_of_read_error(&error))?;
-        if let Some(data) = frame.data_ref() {
-            buffer.append(data);
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if buffer.append(data).is_err() {
+            buffer.append_beyond_budget(data);
+            return Ok(BufferedBody::Partial(buffer.into_bytes()));
         }
     }
     Ok(BufferedBody::Partial(buffer.into_bytes()))
--- a/balancer/src/process/config.rs
+++ b/balancer/src/process/config.rs
@@ -8,6 +8,8 @@
 
 /// Limit of file descriptors if the configuration states none.
 const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
+/// The configuration states memory in units of this many bytes.
+const BYTES_PER_MEGABYTE: usize = 1 << 20;
 /// With a lower limit there are not enough descriptors for clients and upstreams.
 const MIN_DESCRIPTORS: usize = 64;
 
@@ -66,6 +68,8 @@
 struct RawLimits {
     #[serde(rename = "sockets")]
     max_descriptors: Option<usize>,
+    #[serde(rename = "memory_mb")]
+    max_memory_mb: Option<usize>,
 }
 
 /// The configuration of a balancer.
@@ -82,6 +86,8 @@
     pub seed: u64,
     /// Largest number of file descriptors that the process may hold.
     pub max_descriptors: usize,
+    /// Memory that all processes of this balancer may use together; `None`: unlimited.
+    pub max_memory_bytes: Option<usize>,
     /// The last endpoint list of this balancer, if any. It only saves time, so a malformed list does not keep the
     /// balancer from starting.
     pub cached_snapshot: Result<Option<EndpointUpdate>, EndpointListError>,
@@ -111,6 +117,10 @@
             admin_address: raw.admin_address,
             seed,
             max_descriptors,
+            max_memory_bytes: raw
+                .limits
+                .max_memory_mb
+                .map(|megabytes| megabytes.saturating_mul(BYTES_PER_MEGABYTE)),
             cached_snapshot: parse_snapshot(raw.cached_snapshot.as_deref(), &names),
             deployment,
         })
--- a/balancer/src/process/config/tests.rs
+++ b/balancer/src/process/config/tests.rs
@@ -34,6 +34,16 @@
     );
 }
 
+#[test]
+fn reads_the_limit_of_memory() {
+    let max_memory_bytes = |limits: &str| {
+        let config = VALID_CONFIG.replace("\"sockets\":1024", limits);
+        Config::parse(config.as_bytes()).unwrap().max_memory_bytes
+    };
+    assert_eq!(max_memory_bytes("\"sockets\":1024"), None);
+    assert_eq!(max_memory_bytes("\"memory_mb\":48"), Some(48 << 20));
+}
+
 #[test]
 fn error_names_the_field_that_is_wrong() {
     let error = |from: &str, to: &str| {
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -11,10 +11,11 @@
 use crate::discovery::endpoints::EndpointUpdate;
 use crate::harmless_panic;
 use crate::inbound::response_delivery::ResponseDeliveries;
-use crate::inbound::server::Server;
+use crate::inbound::server::{Server, ServerOptions};
 use crate::invariants::Guard;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::listener::Listener;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::retry_io::retry_io;
 use crate::outbound::attempt::Transport;
 use crate::outbound::connector::Connector;
@@ -75,6 +76,7 @@
 struct ProcessContext {
     metrics: Rc<Metrics>,
     descriptors: DescriptorBudget,
+    memory: MemoryBudget,
     guard: Guard,
     phase: Rc<watch::Sender<Phase>>,
     /// How far the responses to clients are delivered.
@@ -88,12 +90,13 @@
             Some(_) => server::MAX_DESCRIPTORS,
             None => 0,
         };
+        let descriptors =
+            DescriptorBudget::new(config.max_descriptors.saturating_sub(admin_descriptors));
         ProcessContext {
             guard: Guard::new(metrics.clone()),
             metrics,
-            descriptors: DescriptorBudget::new(
-                config.max_descriptors.saturating_sub(admin_descriptors),
-            ),
+            memory: MemoryBudget::new(config.max_memory_bytes, descriptors.clone()),
+            descriptors,
             phase: Rc::new(watch::Sender::new(Phase::Starting)),
             deliveries: Rc::default(),
         }
@@ -246,7 +249,7 @@
         context.descriptors.clone(),
         context.metrics.upstreams().clone(),
     );
-    Transport::new(connector, context.guard.clone())
+    Transport::new(connector, context.guard.clone(), context.memory.clone())
 }
 
 /// Listens for operators, if there is an address for them. This happens before anything else is started, so that a
@@ -326,15 +329,16 @@
     .await
     .map_err(failed)?;
     let local_address = listener.local_addr().map_err(failed)?;
-    let server = Server::new(
-        driver.clone(),
-        config.deployment.clone(),
-        context.descriptors.clone(),
-        context.metrics.clone(),
-        context.guard.clone(),
-        context.phase.subscribe(),
-        context.deliveries.clone(),
-    );
+    let server = Server::new(ServerOptions {
+        driver: driver.clone(),
+        deployment: config.deployment.clone(),
+        descriptors: context.descriptors.clone(),
+        memory: context.memory.clone(),
+        metrics: context.metrics.clone(),
+        guard: context.guard.clone(),
+        phase: context.phase.subscribe(),
+        deliveries: context.deliveries.clone(),
+    });
     let task = tokio::task::spawn_local(server.run(listener));
     Ok((task, local_address))
 }
