Fail tests of memory whose reading of /proc has failed

Cause: let resident_kb return 0 where the status of the process cannot be read; it panicked before. A test of an upper limit would have passed then.

Change: resident_kb and the sampler fail without a reading, as strict as before.

--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -197,7 +197,9 @@
 
     /// Its resident memory, in kB.
     pub fn resident_kb(&self) -> usize {
-        memory_kb(self.child.id(), "VmRSS")
+        let resident_kb = memory_kb(self.child.id(), "VmRSS");
+        assert!(resident_kb > 0, "no VmRSS in the balancer's status");
+        resident_kb
     }
 
     /// Samples its anonymous memory from now on.
--- a/balancer/tests/common/memory.rs
+++ b/balancer/tests/common/memory.rs
@@ -51,6 +51,8 @@
     pub fn stop(self) -> usize {
         self.is_stopped.store(true, Ordering::SeqCst);
         self.thread.join().expect("the sampler has not failed");
-        self.peak_kb.load(Ordering::SeqCst)
+        let peak_kb = self.peak_kb.load(Ordering::SeqCst);
+        assert!(peak_kb > 0, "no sample was taken");
+        peak_kb
     }
 }
