Move the buffering of responses into a module of its own

Cause: response_relay.rs held two jobs: buffering a response until it is known to be complete, large or slow, and relaying it.

Change: outbound/response_buffer.rs buffers, response_relay.rs relays. Code is moved only.

--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod headers;
 pub(crate) mod message;
 mod request_history;
+mod response_buffer;
 mod response_outcome;
 mod response_relay;
 mod reuse_lease;
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -1,9 +1,7 @@
-//! Reads response bodies of upstreams: buffers small ones, and relays large ones to the client as
-//! they arrive.
-use crate::body::body_buffer::{copy_of, BodyBuffer};
+//! Relays bodies of responses that are large or slow to the client, as they arrive.
+use crate::body::body_buffer::copy_of;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
-use crate::net::memory_budget::MemoryBudget;
 use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::time::timeout_at;
@@ -15,68 +13,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a body of undeclared length is buffered before it is relayed like a large one.
-const UNDECLARED_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
-
 /// Interval in which a response that has begun before its request was complete looks for the
 /// request's deadline.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What was read of a response body before the response was passed on.
-pub enum BufferedBody {
-    /// The complete body.
-    Complete(Bytes),
-    /// The start of a body that is large or slow, or for which too little memory is left; the rest is
-    /// still to be read.
-    Partial(Bytes),
-}
-
-/// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
-/// declares a large length. A body that declares a small length waits for memory and is read to its
-/// end, which only the attempt's timeout limits.
-pub async fn buffer_body(
-    body: &mut Incoming,
-    declared_length: Option<u64>,
-    memory: &MemoryBudget,
-) -> Result<BufferedBody, AttemptOutcome> {
-    if declares_large_body(declared_length) {
-        return Ok(BufferedBody::Partial(Bytes::new()));
-    }
-    let deadline = match declared_length {
-        Some(_) => None,
-        None => Some(Instant::now() + UNDECLARED_LENGTH_BUFFER_TIME),
-    };
-    let mut buffer = BodyBuffer::new(declared_length, memory);
-    buffer.allocate_first_bytes().await;
-    while buffer.len() <= MAX_BUFFERED_BODY_BYTES {
-        // Before the first byte there is nothing to relay, so no deadline applies.
-        let frame = match deadline {
-            Some(deadline) if buffer.len() > 0 => timeout_at(deadline, body.frame()).await,
-            _ => Ok(body.frame().await),
-        };
-        let Ok(frame) = frame else {
-            return Ok(BufferedBody::Partial(buffer.into_bytes()));
-        };
-        let Some(frame) = frame else {
-            return Ok(BufferedBody::Complete(buffer.into_bytes()));
-        };
-        let frame = frame.map_err(|error| outcome_of_read_error(&error))?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if buffer.append(data).is_err() {
-            buffer.append_beyond_budget(data);
-            return Ok(BufferedBody::Partial(buffer.into_bytes()));
-        }
-    }
-    Ok(BufferedBody::Partial(buffer.into_bytes()))
-}
-
-/// Whether a body's declared length is too large for buffering.
-pub fn declares_large_body(declared_length: Option<u64>) -> bool {
-    declared_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64)
-}
-
 /// A body that is relayed to the client.
 pub struct Relay {
     sender: UpstreamBodySender,
