Relay responses of unstated length as long as their upstream makes progress

Cause: Relay::frame_deadline took a body of unstated length for a small one until 64 KiB were passed on, and ended it at the deadline although its upstream was sending. Ruled out by the debug log: the driver's timer (cancelled when the relay starts), the client's side, the stall limit, the upstream.

Change: BodyPace records how steadily a body arrives, from its first byte on, in the buffer and in the relay. At the deadline a body that may be small ends unless it is in progress: paused for at most 0.3 s or twice its longest pause, and at least 1 kB for each second of waiting. 0.3 s leaves 0.15 s for a busy machine until the half second in which a final response is due. The least rate is far below the 64 kB/s of the slowest client and ends a drip. One that is in progress half a second later is awaited like a large one, as a small one could not be in time any more.

The unit tests of the relay got the new argument, nothing else.

--- /dev/null
+++ b/balancer/src/outbound/body_pace.rs
@@ -0,0 +1,73 @@
+//! How steadily an upstream sends the body of a response.
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Slowest rate at which a body counts as in progress.
+const MIN_BYTES_PER_SECOND: f64 = 1_000.0;
+/// Pause during which any body counts as in progress.
+const MIN_ALLOWED_PAUSE: Duration = Duration::from_millis(300);
+/// A body that comes in pieces may pause this many times as long as it has paused before.
+const ALLOWED_PAUSE_FACTOR: u32 = 2;
+
+/// The pace of one body. Only the time spent waiting for the upstream counts, not the time in which
+/// the receiver does not take what has arrived.
+#[derive(Debug, Default)]
+pub struct BodyPace {
+    received_bytes: u64,
+    /// When data arrived last.
+    received_at: Option<Instant>,
+    /// Since when the upstream is awaited, if it is.
+    waiting_since: Option<Instant>,
+    /// Time spent waiting since the first byte.
+    waited: Duration,
+    /// The longest single wait since the first byte.
+    longest_pause: Duration,
+}
+
+impl BodyPace {
+    /// The upstream is awaited from now on, unless it is already.
+    pub fn begin_wait(&mut self, now: Instant) {
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// So many bytes of data have arrived.
+    pub fn record_data(&mut self, now: Instant, length: usize) {
+        let pause = match self.waiting_since.take() {
+            Some(since) if self.received_bytes > 0 => now - since,
+            _ => Duration::ZERO,
+        };
+        self.waited += pause;
+        self.longest_pause = self.longest_pause.max(pause);
+        self.received_bytes += length as u64;
+        self.received_at = Some(now);
+    }
+
+    /// Whether data has arrived after this time.
+    pub fn has_received_after(&self, time: Instant) -> bool {
+        self.received_at
+            .is_some_and(|received_at| received_at > time)
+    }
+
+    /// Until when the body counts as in progress if nothing more arrives; `None` if nothing has
+    /// arrived yet.
+    pub fn in_progress_until(&self, now: Instant) -> Option<Instant> {
+        if self.received_bytes == 0 {
+            return None;
+        }
+        let since = self.waiting_since.unwrap_or(now);
+        Some(since + self.allowed_pause().min(self.remaining_wait()))
+    }
+
+    fn allowed_pause(&self) -> Duration {
+        (self.longest_pause * ALLOWED_PAUSE_FACTOR).max(MIN_ALLOWED_PAUSE)
+    }
+
+    /// For how long the upstream may be awaited until its rate is below the least one.
+    fn remaining_wait(&self) -> Duration {
+        let allowed = Duration::from_secs_f64(self.received_bytes as f64 / MIN_BYTES_PER_SECOND);
+        (MIN_ALLOWED_PAUSE + allowed).saturating_sub(self.waited)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/balancer/src/outbound/body_pace/tests.rs
@@ -0,0 +1,84 @@
+//! What counts as progress of a body.
+use super::*;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// A body that receives `length` bytes after each of these waits, in milliseconds.
+struct Body {
+    pace: BodyPace,
+    now: Instant,
+}
+
+impl Body {
+    fn new() -> Body {
+        Body {
+            pace: BodyPace::default(),
+            now: Instant::now(),
+        }
+    }
+
+    fn receive(&mut self, after_ms: u32, length: usize) {
+        self.pace.begin_wait(self.now);
+        self.now += after_ms * MILLISECOND;
+        self.pace.record_data(self.now, length);
+    }
+
+    /// Whether it counts as in progress once nothing has arrived for so many milliseconds.
+    fn is_in_progress_after(&mut self, silent_ms: u32) -> bool {
+        self.pace.begin_wait(self.now);
+        self.pace
+            .in_progress_until(self.now)
+            .is_some_and(|until| self.now + silent_ms * MILLISECOND <= until)
+    }
+}
+
+#[test]
+fn body_without_data_is_not_in_progress() {
+    assert!(!Body::new().is_in_progress_after(0));
+}
+
+#[test]
+fn body_that_begins_with_much_and_stops_is_in_progress_for_the_least_pause() {
+    let mut body = Body::new();
+    body.receive(2_000, 50_000);
+    assert!(body.is_in_progress_after(300));
+    assert!(!body.is_in_progress_after(301));
+}
+
+#[test]
+fn body_may_pause_twice_as_long_as_before() {
+    let mut body = Body::new();
+    for _ in 0..3 {
+        body.receive(700, 5_000);
+    }
+    assert!(body.is_in_progress_after(1_400));
+    assert!(!body.is_in_progress_after(1_401));
+}
+
+/// Guards against taking a drip for progress, however steady it is.
+#[test]
+fn body_below_the_least_rate_is_not_in_progress() {
+    for (interval_ms, length, is_in_progress) in [(50, 64, true), (50, 40, false), (500, 1, false)]
+    {
+        let mut body = Body::new();
+        for _ in 0..100 {
+            body.receive(interval_ms, length);
+        }
+        assert_eq!(
+            body.is_in_progress_after(1),
+            is_in_progress,
+            "{length} bytes each {interval_ms} ms"
+        );
+    }
+}
+
+/// Guards against taking the time in which the receiver does not read for a pause of the sender.
+#[test]
+fn time_without_a_wait_does_not_count() {
+    let mut body = Body::new();
+    body.receive(10, 1_000);
+    body.now += 20_000 * MILLISECOND;
+    assert!(body.is_in_progress_after(300));
+    body.receive(0, 1_000);
+    assert!(body.is_in_progress_after(300));
+}
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod attempt;
 pub(crate) mod attempt_result;
+mod body_pace;
 pub(crate) mod connection_pool;
 pub(crate) mod connector;
 pub(crate) mod dispatch;
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -2,6 +2,7 @@
 use crate::body::body_buffer::BodyBuffer;
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::net::memory_budget::MemoryBudget;
+use crate::outbound::body_pace::BodyPace;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::time::timeout_at;
 use balancer_core::AttemptOutcome;
@@ -25,11 +26,12 @@
 
 /// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
 /// declares a large length. A body that declares a small length waits for memory and is read to its
-/// end, which only the attempt's timeout limits.
+/// end, which only the attempt's timeout limits. Records what arrives in `pace`.
 pub async fn buffer_body(
     body: &mut Incoming,
     declared_length: Option<u64>,
     memory: &MemoryBudget,
+    pace: &mut BodyPace,
 ) -> Result<BufferedBody, AttemptOutcome> {
     if declares_large_body(declared_length) {
         return Ok(BufferedBody::Partial(Bytes::new()));
@@ -41,6 +43,7 @@
     let mut buffer = BodyBuffer::new(declared_length, memory);
     buffer.allocate_first_bytes().await;
     while buffer.len() <= MAX_BUFFERED_BODY_BYTES {
+        pace.begin_wait(Instant::now());
         // Before the first byte there is nothing to relay, so no deadline applies.
         let frame = match deadline {
             Some(deadline) if buffer.len() > 0 => timeout_at(deadline, body.frame()).await,
@@ -56,6 +59,7 @@
         let Some(data) = frame.data_ref() else {
             continue;
         };
+        pace.record_data(Instant::now(), data.len());
         if buffer.append(data).is_err() {
             buffer.append_beyond_budget(data);
             return Ok(BufferedBody::Partial(buffer.into_bytes()));
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -2,6 +2,7 @@
 use crate::body::body_buffer::copy_of;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
+use crate::outbound::body_pace::BodyPace;
 use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::time::timeout_at;
@@ -17,7 +18,16 @@
 /// request's deadline.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A body that is still in progress this long after its request's deadline cannot be a small one
+/// that is in time, and is awaited like a large one.
+const FINAL_RESPONSE_GRACE: Duration = Duration::from_millis(500);
+
 /// A body that is relayed to the client.
+///
+/// A body that may be a small one has to be complete by its request's deadline, or in progress: the
+/// client is owed a final response, also where the upstream never sends the end of its own. A body
+/// that is known to be large is in time once its first bytes are. It ends when it makes no progress
+/// for [`BODY_STALL_TIMEOUT`].
 pub struct Relay {
     sender: UpstreamBodySender,
     body: Incoming,
@@ -25,8 +35,8 @@
     forwarded: u64,
     /// Whether the body declares a large length.
     declares_large_body: bool,
-    /// The request. A body that may be a small one must end by the request's deadline, which guards
-    /// against responses that begin and never end.
+    /// How steadily the upstream sends the body.
+    pace: BodyPace,
     request: Rc<OutboundRequest>,
 }
 
@@ -37,11 +47,13 @@
 }
 
 impl Relay {
-    /// Creates a relay from `body`, the response to `request`, to `sender`.
+    /// Creates a relay from `body`, the response to `request`, to `sender`. The body has had `pace`
+    /// so far.
     pub fn new(
         sender: UpstreamBodySender,
         body: Incoming,
         declares_large_body: bool,
+        pace: BodyPace,
         request: Rc<OutboundRequest>,
     ) -> Relay {
         Relay {
@@ -49,6 +61,7 @@
             body,
             forwarded: 0,
             declares_large_body,
+            pace,
             request,
         }
     }
@@ -69,6 +82,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            self.pace.record_data(Instant::now(), data.len());
             self.forwarded += data.len() as u64;
             if self.forwarded > MAX_BODY_BYTES {
                 return Err(AttemptOutcome::Error);
@@ -86,15 +100,16 @@
     }
 
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptOutcome> {
-        let stalled_at = Instant::now() + BODY_STALL_TIMEOUT;
+        let started_at = Instant::now();
+        self.pace.begin_wait(started_at);
         loop {
-            let wake_at = self.wake_at(self.frame_deadline(stalled_at).at);
+            let wake_at = self.wake_at(self.frame_deadline(started_at).at);
             if let Ok(frame) = timeout_at(wake_at, self.body.frame()).await {
                 return frame
                     .transpose()
                     .map_err(|error| outcome_of_read_error(&error));
             }
-            let deadline = self.frame_deadline(stalled_at);
+            let deadline = self.frame_deadline(started_at);
             if Instant::now() >= deadline.at {
                 return Err(deadline.outcome);
             }
@@ -110,21 +125,35 @@
         frame_deadline.min(Instant::now() + DEADLINE_CHECK_INTERVAL)
     }
 
-    /// When the next frame must have arrived, if the body has stalled at `stalled_at`.
-    fn frame_deadline(&self, stalled_at: Instant) -> FrameDeadline {
-        let small_body_deadline = self.request.deadline.get().filter(|_| self.may_be_small());
-        match small_body_deadline {
+    /// When the next frame must have arrived, which is awaited since `started_at`.
+    fn frame_deadline(&self, started_at: Instant) -> FrameDeadline {
+        match self.completion_deadline() {
             Some(deadline) => FrameDeadline {
-                at: deadline,
+                at: self.end_of_progress(started_at).max(deadline),
                 outcome: AttemptOutcome::Timeout,
             },
             None => FrameDeadline {
-                at: self.stall_limit(stalled_at),
+                at: self.stall_limit(started_at + BODY_STALL_TIMEOUT),
                 outcome: AttemptOutcome::Reset,
             },
         }
     }
 
+    /// Until when the body counts as in progress if nothing more arrives.
+    fn end_of_progress(&self, now: Instant) -> Instant {
+        self.pace.in_progress_until(now).unwrap_or(now)
+    }
+
+    /// From when on the body has to be in progress if it is not complete; `None` if that does not
+    /// apply.
+    fn completion_deadline(&self) -> Option<Instant> {
+        let deadline = self.request.deadline.get()?;
+        let is_late = self
+            .pace
+            .has_received_after(deadline + FINAL_RESPONSE_GRACE);
+        (self.may_be_small() && !is_late).then_some(deadline)
+    }
+
     /// When a body that has stalled at `stalled_at` is given up: not before the request's deadline.
     fn stall_limit(&self, stalled_at: Instant) -> Instant {
         let deadline = self.request.deadline.get().unwrap_or(stalled_at);
--- a/balancer/src/outbound/response_relay/tests.rs
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -60,7 +60,13 @@
     let start = Instant::now();
     let body = upstream_body(head, send).await;
     let (sender, stream) = upstream_body_stream(None);
-    let relay = Relay::new(sender, body, declares_large_body, request);
+    let relay = Relay::new(
+        sender,
+        body,
+        declares_large_body,
+        BodyPace::default(),
+        request,
+    );
     let (result, ()) = tokio::join!(relay.run(Bytes::new()), read_stream(stream));
     (result, start.elapsed())
 }
@@ -126,7 +132,13 @@
     })
     .await;
     let (sender, stream) = upstream_body_stream(None);
-    let relay = Relay::new(sender, body, true, request_with_time(Some(pause + SECOND)));
+    let relay = Relay::new(
+        sender,
+        body,
+        true,
+        BodyPace::default(),
+        request_with_time(Some(pause + SECOND)),
+    );
     let client = async {
         sleep(pause).await;
         read_stream(stream).await;
@@ -155,7 +167,13 @@
     .await;
     let (sender, _unread_stream) = upstream_body_stream(None);
     let start = Instant::now();
-    let relay = Relay::new(sender, body, true, request_with_time(Some(SECOND)));
+    let relay = Relay::new(
+        sender,
+        body,
+        true,
+        BodyPace::default(),
+        request_with_time(Some(SECOND)),
+    );
     assert_eq!(
         relay.run(Bytes::new()).await,
         Err(AttemptOutcome::Cancelled)
--- /dev/null
+++ b/balancer/tests/stalled_responses.rs
@@ -0,0 +1,58 @@
+//! Responses that stop or drip: each ends within a limit, and frees what it holds.
+mod common;
+
+use common::*;
+use std::time::Duration;
+
+/// Extra time that a busy machine may take.
+const SCHEDULING_MARGIN: Duration = Duration::from_secs(1);
+
+/// Longer than a body of unstated length is buffered.
+const TIME: Duration = Duration::from_millis(1200);
+/// Shorter than that.
+const SHORT_TIME: Duration = Duration::from_millis(600);
+
+/// The start of a response at once.
+const START: &[Part] = &[part(5_000, 5_000, 0)];
+/// The start of a response in steady pieces, which end before its request's time.
+const STEADY_START: &[Part] = &[part(10_000, 500, 50)];
+/// A byte for each 30 ms, for longer than a play.
+const DRIP: &[Part] = &[part(1_000, 1, 30)];
+/// Checks that a client gets its final answer and the upstream's connection is closed in time.
+fn expect_end(framing: ResponseFraming, parts: &'static [Part], time: Duration, limit: Duration) {
+    let (upstream, closed) = start_stalling_upstream(framing, parts);
+    let balancer = BalancerProcess::with_admin(&[upstream]);
+    let received = call_and_measure(connect(balancer.address), time);
+    let case = format!("{framing:?}, {parts:?}, {time:?}");
+    let ended_after = received.ended_after;
+    assert!(
+        ended_after <= time + limit,
+        "{case}: ended after {ended_after:?}"
+    );
+    let is_failure = received.head.starts_with("HTTP/1.1 502 ");
+    assert!(
+        is_failure || !received.is_complete,
+        "{case}: the response looks complete"
+    );
+    closed
+        .recv_timeout(SCHEDULING_MARGIN)
+        .unwrap_or_else(|_| panic!("{case}: the upstream's connection stays open"));
+    balancer.wait_for_metric("node_active 0");
+}
+
+/// Guards against responses that may be small, begin and never end: their client gets its final
+/// answer when its time is over.
+#[test]
+fn ends_a_response_without_progress_when_the_time_of_its_request_is_over() {
+    let mut plays: Vec<Play> = Vec::new();
+    for framing in UNSTATED_LENGTH {
+        for parts in [START, STEADY_START, DRIP] {
+            for time in [SHORT_TIME, TIME] {
+                plays.push(Box::new(move || {
+                    expect_end(framing, parts, time, RESPONSE_GRACE);
+                }));
+            }
+        }
+    }
+    run_plays(plays);
+}
