Pass on a response in progress when the time of its request is over

What callers saw: with less than a second left, 502 or 503 at the deadline although the upstream was sending a large response of unstated length; with early timeouts each attempt was cut off after 0.1 to 0.2 s.

Cause: a body of unstated length is buffered for 1 s, whatever time the client and the attempt have. The driver's timer ended the attempt meanwhile.

Change: the attempt's task and the driver share a ResponseProgress. At the request's deadline a response in progress is relayed from then on; at an early timeout the attempt goes on while its response is in progress, with nothing passed on, so that it can still be retried. PreparedAttempt has its own module, as attempt_lifecycle.rs grew.

--- a/balancer/src/control/attempts.rs
+++ b/balancer/src/control/attempts.rs
@@ -1,8 +1,11 @@
 //! The attempts in flight.
 use crate::control::attempt_id::AttemptId;
+use crate::control::prepared_attempt::PreparedAttempt;
 use crate::control::timers::TimerId;
+use crate::outbound::response_progress::ResponseProgress;
 use balancer_core::UpstreamId;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -16,41 +19,25 @@
     sent_at: Option<Instant>,
     /// Time from `sent_at` to the start of a streamed response, once it has started.
     response_started_after: Option<Duration>,
+    response_progress: Rc<ResponseProgress>,
     task: AbortHandle,
     timeout: Option<TimerId>,
 }
 
 impl Attempt {
-    /// An attempt whose request's body is still incomplete.
-    pub fn with_incomplete_body(
-        upstream: UpstreamId,
-        started_at: Instant,
-        task: AbortHandle,
-        timeout: TimerId,
-    ) -> Attempt {
+    /// A prepared attempt that `task` carries out and `timeout` limits.
+    pub fn new(prepared: &PreparedAttempt, task: AbortHandle, timeout: TimerId) -> Attempt {
         Attempt {
-            upstream,
-            started_at,
-            sent_at: None,
+            upstream: prepared.upstream_id,
+            started_at: prepared.started_at,
+            sent_at: prepared.is_body_complete.then_some(prepared.started_at),
             response_started_after: None,
+            response_progress: prepared.response_progress.clone(),
             task,
             timeout: Some(timeout),
         }
     }
 
-    /// An attempt whose request's body is complete.
-    pub fn with_complete_body(
-        upstream: UpstreamId,
-        started_at: Instant,
-        task: AbortHandle,
-        timeout: TimerId,
-    ) -> Attempt {
-        Attempt {
-            sent_at: Some(started_at),
-            ..Attempt::with_incomplete_body(upstream, started_at, task, timeout)
-        }
-    }
-
     /// The endpoint that the attempt goes to.
     pub fn upstream(&self) -> UpstreamId {
         self.upstream
@@ -124,6 +111,13 @@
         self.by_id.get_mut(&id)
     }
 
+    /// What has arrived of the response to an attempt in flight.
+    pub fn response_progress(&self, id: AttemptId) -> Option<&ResponseProgress> {
+        self.by_id
+            .get(&id)
+            .map(|attempt| &*attempt.response_progress)
+    }
+
     /// Whether any attempt to this endpoint is in flight.
     pub fn has_attempt_to(&self, upstream: UpstreamId) -> bool {
         self.by_id
--- a/balancer/src/control/driver/event_loop.rs
+++ b/balancer/src/control/driver/event_loop.rs
@@ -1,8 +1,9 @@
 //! Passes events to the core and carries out its actions.
 use super::DriverHandle;
 use crate::control::attempt_id::AttemptId;
-use crate::control::driver_state::attempt_lifecycle::{PreparedAttempt, TimeoutResolution};
+use crate::control::driver_state::attempt_lifecycle::TimeoutResolution;
 use crate::control::driver_state::DriverState;
+use crate::control::prepared_attempt::PreparedAttempt;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::FinalResponse;
 use crate::time::sleep_until;
@@ -53,7 +54,7 @@
                 self.handle_event(Event::BodyDiscarded(id.request));
                 self.attempt_ended(id, AttemptOutcome::ConnectFailed, None);
             }
-            TimeoutResolution::Postponed => {}
+            TimeoutResolution::ResponseKept | TimeoutResolution::Postponed => {}
         }
     }
 
@@ -83,7 +84,7 @@
             } => {
                 if let Some(prepared) = state.prepare_attempt(request, upstream, timeout) {
                     let task = self.spawn_attempt(state, &prepared);
-                    state.attempt_started(prepared, task);
+                    state.attempt_started(&prepared, task);
                     self.0.timers_changed.notify_one();
                 }
             }
@@ -115,11 +116,19 @@
         let request = prepared.request.clone();
         let id = prepared.id;
         let deadline = prepared.deadline;
+        let progress = prepared.response_progress.clone();
         let task = tokio::task::spawn_local(async move {
             let connected = || driver.0.state.borrow_mut().attempt_connected(id);
             let response_started = |response| driver.response_started(id, response);
             let result = dispatch
-                .attempt(upstream, request, deadline, connected, response_started)
+                .attempt(
+                    upstream,
+                    request,
+                    deadline,
+                    progress,
+                    connected,
+                    response_started,
+                )
                 .await;
             driver.attempt_ended(id, result.outcome, result.response);
         });
--- a/balancer/src/control/driver/tests.rs
+++ b/balancer/src/control/driver/tests.rs
@@ -1,6 +1,9 @@
-//! Tests of the response times that the driver reports to the core, with real connections.
+//! Tests of the driver with real connections: the response times that it reports to the core, and
+//! timeouts of attempts whose response has begun.
 use super::*;
 use crate::clock::Clock;
+use crate::control::attempt_id::AttemptId;
+use crate::control::driver_state::attempt_lifecycle::TimeoutResolution;
 use crate::discovery::consumer::EndpointConsumer;
 use crate::discovery::endpoints::ListedEndpoint;
 use crate::invariants::Guard;
@@ -12,8 +15,9 @@
 use crate::telemetry::log::LogOutput;
 use crate::telemetry::metrics::Metrics;
 use crate::test_support::{get_request, FullListener};
-use balancer_core::{Balancer, Class, Endpoint, Idempotency, Settings, UpstreamId};
-use std::net::SocketAddr;
+use balancer_core::{Balancer, Class, Endpoint, Idempotency, RequestId, Settings, UpstreamId};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use tokio::time::Instant;
 
 /// Longer than the test runs.
@@ -106,3 +110,43 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// An upstream that sends the start of a response of unstated length, and no more.
+fn start_stalling_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut peer, _) = listener.accept().expect("accepts");
+        let _request = peer.read(&mut [0; 1 << 10]).expect("a request");
+        peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n")
+            .expect("is sent");
+        let _end = peer.read(&mut [0]);
+    });
+    address
+}
+
+/// Guards against an early timeout that ends a response which is arriving, and against one that
+/// passes it on: nothing could be retried then if the response stops.
+#[tokio::test(flavor = "current_thread")]
+async fn early_timeout_is_postponed_while_a_response_is_in_progress() {
+    const ATTEMPT: AttemptId = AttemptId {
+        request: RequestId(0),
+        number: 0,
+    };
+    let test = async {
+        let driver = driver_with(start_stalling_upstream());
+        let response = driver
+            .submit(0, 0, 20_000.0, get_request())
+            .expect("is submitted");
+        let resolve = || driver.0.state.borrow_mut().resolve_timeout(ATTEMPT);
+        assert_eq!(resolve(), TimeoutResolution::ResponseOverdue, "no response");
+        while resolve() == TimeoutResolution::ResponseOverdue {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(resolve(), TimeoutResolution::Postponed);
+        let response = tokio::time::timeout(Duration::from_millis(400), response.response());
+        assert!(response.await.is_err(), "the response was passed on");
+        assert_eq!(resolve(), TimeoutResolution::ResponseOverdue, "it stalls");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -3,10 +3,12 @@
 use crate::clock::to_millis;
 use crate::control::attempt_id::AttemptId;
 use crate::control::attempts::Attempt;
+use crate::control::pending_requests::PendingRequest;
+use crate::control::prepared_attempt::PreparedAttempt;
 use crate::control::timers::TimerEvent;
 use crate::invariants::is_proven_not_run;
 use crate::outbound::connection_pool::Upstream;
-use crate::outbound::message::{FinalResponse, OutboundRequest};
+use crate::outbound::message::FinalResponse;
 use balancer_core::{AttemptOutcome, Event, Millis, RequestId, UpstreamId};
 use std::rc::Rc;
 #[cfg(test)]
@@ -17,24 +19,6 @@
 /// The timeout of an attempt that has no limit besides the client's timeout.
 const NO_LIMIT_MS: Millis = 0.0;
 
-/// An attempt that is about to start.
-pub struct PreparedAttempt {
-    /// Its id.
-    pub id: AttemptId,
-    /// The id of its endpoint.
-    pub upstream_id: UpstreamId,
-    /// The endpoint's address and connections.
-    pub upstream: Rc<Upstream>,
-    /// The request as the attempt sends it.
-    pub request: Rc<OutboundRequest>,
-    /// When it starts.
-    pub started_at: Instant,
-    /// When it times out. While the request's body is incomplete, progress postpones this.
-    pub deadline: Instant,
-    /// Whether the request's body is complete.
-    pub is_body_complete: bool,
-}
-
 /// What the timeout of an attempt means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TimeoutResolution {
@@ -42,7 +26,9 @@
     ResponseOverdue,
     /// The upstream has not taken the whole request in time, so it has not run the request.
     UploadOverdue,
-    /// The request's body has made progress. The timer is set again.
+    /// The response is complete or in progress, and is passed on.
+    ResponseKept,
+    /// The request's body or the response has made progress. The timer is set again.
     Postponed,
 }
 
@@ -71,6 +57,7 @@
             request: pending.request().clone(),
             started_at,
             deadline,
+            response_progress: Rc::default(),
             is_body_complete: pending.is_body_complete(),
         };
         tracing::debug!(
@@ -135,39 +122,27 @@
     }
 
     /// Records that a prepared attempt has started; `task` carries it out.
-    pub fn attempt_started(&mut self, prepared: PreparedAttempt, task: AbortHandle) {
-        let PreparedAttempt {
-            id,
-            upstream_id,
-            started_at,
-            ..
-        } = prepared;
+    pub fn attempt_started(&mut self, prepared: &PreparedAttempt, task: AbortHandle) {
+        let id = prepared.id;
         let timeout = self
             .timers
             .set(prepared.deadline, TimerEvent::AttemptTimeout(id));
-        let attempt = if prepared.is_body_complete {
-            Attempt::with_complete_body(upstream_id, started_at, task, timeout)
-        } else {
-            Attempt::with_incomplete_body(upstream_id, started_at, task, timeout)
-        };
-        self.attempts.insert(id, attempt);
+        self.attempts
+            .insert(id, Attempt::new(prepared, task, timeout));
     }
 
     /// Resolves the timeout of an attempt, whose timer has fired.
     pub fn resolve_timeout(&mut self, id: AttemptId) -> TimeoutResolution {
+        let now = Instant::now();
         let Some(pending) = self.pending.get(id.request) else {
             return TimeoutResolution::ResponseOverdue;
         };
-        if pending.is_body_complete() {
-            return TimeoutResolution::ResponseOverdue;
-        }
-        let now = Instant::now();
         if pending.expires_at() <= now {
-            return TimeoutResolution::UploadOverdue;
+            return self.resolve_expiry(id, pending.is_body_complete());
         }
-        // A client that is still writing may be done at once, so its request may expire as early as
-        // an attempt that starts now.
-        let next_check_at = pending.attempt_deadline(NO_LIMIT_MS, now);
+        let Some(next_check_at) = self.next_timeout_check(id, pending, now) else {
+            return TimeoutResolution::ResponseOverdue;
+        };
         if let Some(attempt) = self.attempts.get_mut(id) {
             let timeout = self
                 .timers
@@ -177,6 +152,43 @@
         TimeoutResolution::Postponed
     }
 
+    /// Resolves the timeout of an attempt whose request has expired.
+    fn resolve_expiry(&self, id: AttemptId, is_body_complete: bool) -> TimeoutResolution {
+        let progress = self.attempts.response_progress(id);
+        if progress.is_some_and(|progress| progress.is_complete() || progress.request_relay()) {
+            return TimeoutResolution::ResponseKept;
+        }
+        if is_body_complete {
+            TimeoutResolution::ResponseOverdue
+        } else {
+            TimeoutResolution::UploadOverdue
+        }
+    }
+
+    /// When the timeout of an attempt, which has fired, is resolved anew: its request has time left.
+    /// `None`: at once.
+    fn next_timeout_check(
+        &self,
+        id: AttemptId,
+        pending: &PendingRequest,
+        now: Instant,
+    ) -> Option<Instant> {
+        let attempt_deadline = pending.attempt_deadline(NO_LIMIT_MS, now);
+        if !pending.is_body_complete() {
+            // A client that is still writing may be done at once, so its request may expire as early
+            // as an attempt that starts now.
+            return Some(attempt_deadline);
+        }
+        // An early timeout does not end a response that is in progress: a retry would hardly be
+        // sooner. Nothing of it is passed on yet, so a retry is possible once it stops.
+        let progress = self.attempts.response_progress(id)?;
+        if progress.is_complete() {
+            return Some(attempt_deadline);
+        }
+        let until = progress.relayable_until(now)?;
+        Some(until.min(attempt_deadline))
+    }
+
     /// An attempt has a connection to write to.
     pub fn attempt_connected(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(id) {
--- a/balancer/src/control/mod.rs
+++ b/balancer/src/control/mod.rs
@@ -6,4 +6,5 @@
 mod driver_options;
 mod driver_state;
 mod pending_requests;
+mod prepared_attempt;
 mod timers;
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -10,6 +10,7 @@
 use crate::outbound::headers::DEADLINE_HEADER;
 use crate::outbound::message::{FinalResponse, OutboundRequest};
 use crate::outbound::response_outcome::{outcome_of_read_error, outcome_of_response};
+use crate::outbound::response_progress::ResponseProgress;
 use crate::outbound::reuse_lease::ReuseLease;
 use balancer_core::AttemptOutcome;
 use hyper::body::Incoming;
@@ -62,7 +63,7 @@
     /// Carries out one attempt, which writes its request at most once. Dropping the future closes
     /// the connection.
     ///
-    /// Calls `on_connected` each time the attempt has got a connection. Passes a large response to
+    /// Records in `progress` what has arrived of the response. Calls `on_connected` each time the attempt has got a connection. Passes a large response to
     /// `on_response_started` once its head has arrived; the attempt then lasts until the end of
     /// that response's body.
     pub async fn attempt(
@@ -70,6 +71,7 @@
         upstream: Rc<Upstream>,
         request: Rc<OutboundRequest>,
         deadline: Instant,
+        progress: Rc<ResponseProgress>,
         on_connected: impl Fn(),
         on_response_started: impl FnOnce(FinalResponse),
     ) -> AttemptResult {
@@ -78,6 +80,7 @@
             upstream,
             request,
             deadline,
+            progress,
         };
         let started = match attempt.send_request(on_connected).await {
             Ok(started) => started,
@@ -95,8 +98,9 @@
     transport: &'a Transport,
     upstream: Rc<Upstream>,
     request: Rc<OutboundRequest>,
-    /// When the attempt must have ended.
+    /// When the attempt must have ended, or its response be in progress.
     deadline: Instant,
+    progress: Rc<ResponseProgress>,
 }
 
 impl Attempt<'_> {
--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -3,7 +3,6 @@
 use crate::body::limits::MAX_BODY_BYTES;
 use crate::body::response_body::{upstream_body_stream, UpstreamResponseBody};
 use crate::outbound::attempt_result::AttemptResult;
-use crate::outbound::body_pace::BodyPace;
 use crate::outbound::connection_pool::Connection;
 use crate::outbound::headers::remove_hop_by_hop_headers;
 use crate::outbound::message::FinalResponse;
@@ -49,17 +48,15 @@
         }
         let outcome = outcome_of_response(&response);
         let (head, mut body) = response.into_parts();
-        let mut pace = BodyPace::default();
         let memory = &self.transport.memory;
-        let buffered = buffer_body(&mut body, declared_length, memory, &mut pace).await?;
+        let buffered = buffer_body(&mut body, declared_length, memory, &self.progress).await?;
         if lease.is_revoked() {
             return Err(AttemptOutcome::Error);
         }
         let response = match buffered {
             BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
             BufferedBody::Partial(buffered) if outcome == AttemptOutcome::Success => {
-                let relay =
-                    self.start_relay(head, body, declared_length, pace, on_response_started);
+                let relay = self.start_relay(head, body, declared_length, on_response_started);
                 relay.run(buffered).await?;
                 None
             }
@@ -83,7 +80,6 @@
         mut head: response::Parts,
         body: Incoming,
         declared_length: Option<u64>,
-        pace: BodyPace,
         on_response_started: impl FnOnce(FinalResponse),
     ) -> Relay {
         remove_hop_by_hop_headers(&mut head.headers);
@@ -97,7 +93,7 @@
             sender,
             body,
             declares_large_body,
-            pace,
+            self.progress.clone(),
             self.request.clone(),
         )
     }
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -160,7 +160,14 @@
             };
             let deadline = Instant::now() + Duration::from_secs(50);
             let result = transport(DescriptorBudget::new(64))
-                .attempt(upstream, Rc::new(request), deadline, || (), |_| ())
+                .attempt(
+                    upstream,
+                    Rc::new(request),
+                    deadline,
+                    Rc::default(),
+                    || (),
+                    |_| (),
+                )
                 .await;
             assert_eq!(result.outcome, expected, "{response:.100}");
             server.join().expect("the upstream");
@@ -213,7 +220,14 @@
             };
             let deadline = Instant::now() + Duration::from_secs(50);
             let result = transport
-                .attempt(upstream.clone(), Rc::new(request), deadline, || (), |_| ())
+                .attempt(
+                    upstream.clone(),
+                    Rc::new(request),
+                    deadline,
+                    Rc::default(),
+                    || (),
+                    |_| (),
+                )
                 .await;
             assert_eq!(result.outcome, AttemptOutcome::Success);
             assert!(matches!(
@@ -251,7 +265,14 @@
         let attempt = || {
             let deadline = Instant::now() + Duration::from_secs(50);
             let request = Rc::new(get_request());
-            transport.attempt(upstream.clone(), request, deadline, || (), |_| ())
+            transport.attempt(
+                upstream.clone(),
+                request,
+                deadline,
+                Rc::default(),
+                || (),
+                |_| (),
+            )
         };
         assert_eq!(attempt().await.outcome, AttemptOutcome::Success);
         tokio::time::sleep(REUSE_WAIT).await;
@@ -291,7 +312,14 @@
         let upstream = Upstream::new(listener.local_addr().expect("an address"));
         let deadline = Instant::now() + Duration::from_secs(5);
         let result = transport(descriptors)
-            .attempt(upstream, Rc::new(request), deadline, || (), |_| ())
+            .attempt(
+                upstream,
+                Rc::new(request),
+                deadline,
+                Rc::default(),
+                || (),
+                |_| (),
+            )
             .await;
         assert_eq!(result.outcome, AttemptOutcome::NotSent);
         drop(all);
--- a/balancer/src/outbound/dispatch.rs
+++ b/balancer/src/outbound/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::outbound::attempt_result::AttemptResult;
 use crate::outbound::connection_pool::Upstream;
 use crate::outbound::message::{FinalResponse, OutboundRequest};
+use crate::outbound::response_progress::ResponseProgress;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -27,6 +28,7 @@
         upstream: Rc<Upstream>,
         request: Rc<OutboundRequest>,
         deadline: Instant,
+        progress: Rc<ResponseProgress>,
         on_connected: impl Fn(),
         on_response_started: impl FnOnce(FinalResponse),
     ) -> AttemptResult {
@@ -37,6 +39,7 @@
                         upstream,
                         request,
                         deadline,
+                        progress,
                         on_connected,
                         on_response_started,
                     )
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -13,6 +13,7 @@
 mod request_history;
 mod response_buffer;
 mod response_outcome;
+pub(crate) mod response_progress;
 mod response_relay;
 mod reuse_lease;
 mod surplus_history;
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -2,13 +2,13 @@
 use crate::body::body_buffer::BodyBuffer;
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::net::memory_budget::MemoryBudget;
-use crate::outbound::body_pace::BodyPace;
 use crate::outbound::response_outcome::outcome_of_read_error;
-use crate::time::timeout_at;
+use crate::outbound::response_progress::ResponseProgress;
+use crate::time::sleep_until;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,46 +26,103 @@
 
 /// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
 /// declares a large length. A body that declares a small length waits for memory and is read to its
-/// end, which only the attempt's timeout limits. Records what arrives in `pace`.
+/// end, which only the attempt's timeout limits. Records in `progress` what arrives.
 pub async fn buffer_body(
     body: &mut Incoming,
     declared_length: Option<u64>,
     memory: &MemoryBudget,
-    pace: &mut BodyPace,
+    progress: &ResponseProgress,
 ) -> Result<BufferedBody, AttemptOutcome> {
     if declares_large_body(declared_length) {
         return Ok(BufferedBody::Partial(Bytes::new()));
     }
-    let deadline = match declared_length {
+    let buffering = Buffering {
+        body,
+        buffer: BodyBuffer::new(declared_length, memory),
+        relay_at: relay_time(declared_length),
+        progress,
+    };
+    if declared_length.is_none() {
+        progress.record_begin();
+    }
+    buffering.run().await
+}
+
+/// When a body is relayed at the latest; `None` if it must be complete before.
+fn relay_time(declared_length: Option<u64>) -> Option<Instant> {
+    match declared_length {
         Some(_) => None,
         None => Some(Instant::now() + UNDECLARED_LENGTH_BUFFER_TIME),
-    };
-    let mut buffer = BodyBuffer::new(declared_length, memory);
-    buffer.allocate_first_bytes().await;
-    while buffer.len() <= MAX_BUFFERED_BODY_BYTES {
-        pace.begin_wait(Instant::now());
-        // Before the first byte there is nothing to relay, so no deadline applies.
-        let frame = match deadline {
-            Some(deadline) if buffer.len() > 0 => timeout_at(deadline, body.frame()).await,
-            _ => Ok(body.frame().await),
-        };
-        let Ok(frame) = frame else {
-            return Ok(BufferedBody::Partial(buffer.into_bytes()));
-        };
-        let Some(frame) = frame else {
-            return Ok(BufferedBody::Complete(buffer.into_bytes()));
-        };
-        let frame = frame.map_err(|error| outcome_of_read_error(&error))?;
-        let Some(data) = frame.data_ref() else {
-            continue;
+    }
+}
+
+/// A body that is being buffered.
+struct Buffering<'a> {
+    body: &'a mut Incoming,
+    buffer: BodyBuffer,
+    /// When it is relayed at the latest; `None` if it must be complete before.
+    relay_at: Option<Instant>,
+    progress: &'a ResponseProgress,
+}
+
+/// What ends the wait for a body's next frame.
+enum BufferEvent {
+    Frame(Frame<Bytes>),
+    EndOfBody,
+    /// The body is to be relayed from now on.
+    RelayDue,
+}
+
+impl Buffering<'_> {
+    async fn run(mut self) -> Result<BufferedBody, AttemptOutcome> {
+        self.buffer.allocate_first_bytes().await;
+        while self.buffer.len() <= MAX_BUFFERED_BODY_BYTES {
+            let frame = match self.next_event().await? {
+                BufferEvent::Frame(frame) => frame,
+                BufferEvent::EndOfBody => {
+                    self.progress.record_complete();
+                    return Ok(BufferedBody::Complete(self.buffer.into_bytes()));
+                }
+                BufferEvent::RelayDue => break,
+            };
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            self.progress.record_data(data.len());
+            if self.buffer.append(data).is_err() {
+                self.buffer.append_beyond_budget(data);
+                break;
+            }
+        }
+        Ok(BufferedBody::Partial(self.buffer.into_bytes()))
+    }
+
+    async fn next_event(&mut self) -> Result<BufferEvent, AttemptOutcome> {
+        self.progress.begin_wait();
+        // Before the first byte there is nothing to relay.
+        let relay_at = self.relay_at.filter(|_| self.buffer.len() > 0);
+        let frame = tokio::select! {
+            biased;
+            frame = self.body.frame() => frame,
+            () = relay_due(self.progress, relay_at) => return Ok(BufferEvent::RelayDue),
         };
-        pace.record_data(Instant::now(), data.len());
-        if buffer.append(data).is_err() {
-            buffer.append_beyond_budget(data);
-            return Ok(BufferedBody::Partial(buffer.into_bytes()));
+        match frame {
+            None => Ok(BufferEvent::EndOfBody),
+            Some(Ok(frame)) => Ok(BufferEvent::Frame(frame)),
+            Some(Err(error)) => Err(outcome_of_read_error(&error)),
         }
     }
-    Ok(BufferedBody::Partial(buffer.into_bytes()))
+}
+
+/// Waits until a body is to be relayed: at `relay_at`, or when the time of its attempt is over.
+async fn relay_due(progress: &ResponseProgress, relay_at: Option<Instant>) {
+    let Some(relay_at) = relay_at else {
+        return progress.relay_requested().await;
+    };
+    tokio::select! {
+        () = progress.relay_requested() => {}
+        () = sleep_until(relay_at) => {}
+    }
 }
 
 /// Whether a body's declared length is too large for buffering.
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -2,9 +2,9 @@
 use crate::body::body_buffer::copy_of;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
-use crate::outbound::body_pace::BodyPace;
 use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
+use crate::outbound::response_progress::ResponseProgress;
 use crate::time::timeout_at;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
@@ -36,7 +36,7 @@
     /// Whether the body declares a large length.
     declares_large_body: bool,
     /// How steadily the upstream sends the body.
-    pace: BodyPace,
+    progress: Rc<ResponseProgress>,
     request: Rc<OutboundRequest>,
 }
 
@@ -47,13 +47,13 @@
 }
 
 impl Relay {
-    /// Creates a relay from `body`, the response to `request`, to `sender`. The body has had `pace`
-    /// so far.
+    /// Creates a relay from `body`, the response to `request`, to `sender`. `progress` is what has
+    /// arrived of it so far.
     pub fn new(
         sender: UpstreamBodySender,
         body: Incoming,
         declares_large_body: bool,
-        pace: BodyPace,
+        progress: Rc<ResponseProgress>,
         request: Rc<OutboundRequest>,
     ) -> Relay {
         Relay {
@@ -61,7 +61,7 @@
             body,
             forwarded: 0,
             declares_large_body,
-            pace,
+            progress,
             request,
         }
     }
@@ -82,7 +82,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.pace.record_data(Instant::now(), data.len());
+            self.progress.record_data(data.len());
             self.forwarded += data.len() as u64;
             if self.forwarded > MAX_BODY_BYTES {
                 return Err(AttemptOutcome::Error);
@@ -101,7 +101,7 @@
 
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, AttemptOutcome> {
         let started_at = Instant::now();
-        self.pace.begin_wait(started_at);
+        self.progress.begin_wait();
         loop {
             let wake_at = self.wake_at(self.frame_deadline(started_at).at);
             if let Ok(frame) = timeout_at(wake_at, self.body.frame()).await {
@@ -141,7 +141,7 @@
 
     /// Until when the body counts as in progress if nothing more arrives.
     fn end_of_progress(&self, now: Instant) -> Instant {
-        self.pace.in_progress_until(now).unwrap_or(now)
+        self.progress.in_progress_until(now).unwrap_or(now)
     }
 
     /// From when on the body has to be in progress if it is not complete; `None` if that does not
@@ -149,7 +149,7 @@
     fn completion_deadline(&self) -> Option<Instant> {
         let deadline = self.request.deadline.get()?;
         let is_late = self
-            .pace
+            .progress
             .has_received_after(deadline + FINAL_RESPONSE_GRACE);
         (self.may_be_small() && !is_late).then_some(deadline)
     }
--- a/balancer/src/outbound/response_relay/tests.rs
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -60,13 +60,7 @@
     let start = Instant::now();
     let body = upstream_body(head, send).await;
     let (sender, stream) = upstream_body_stream(None);
-    let relay = Relay::new(
-        sender,
-        body,
-        declares_large_body,
-        BodyPace::default(),
-        request,
-    );
+    let relay = Relay::new(sender, body, declares_large_body, Rc::default(), request);
     let (result, ()) = tokio::join!(relay.run(Bytes::new()), read_stream(stream));
     (result, start.elapsed())
 }
@@ -136,7 +130,7 @@
         sender,
         body,
         true,
-        BodyPace::default(),
+        Rc::default(),
         request_with_time(Some(pause + SECOND)),
     );
     let client = async {
@@ -171,7 +165,7 @@
         sender,
         body,
         true,
-        BodyPace::default(),
+        Rc::default(),
         request_with_time(Some(SECOND)),
     );
     assert_eq!(
--- a/balancer/tests/slow_responses.rs
+++ b/balancer/tests/slow_responses.rs
@@ -2,6 +2,8 @@
 mod common;
 
 use common::*;
+use std::io::BufReader;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +23,9 @@
 
 /// Longer than a body of unstated length is buffered.
 const TIME: Duration = Duration::from_millis(1200);
+/// Shorter than that.
+const SHORT_TIME: Duration = Duration::from_millis(600);
+
 fn relay_at_each_pace(time: Duration) {
     let mut plays: Vec<Play> = Vec::new();
     for framing in RESPONSE_FRAMINGS {
@@ -43,6 +48,12 @@
     relay_at_each_pace(TIME);
 }
 
+/// Guards against buffering a response of unstated length until its request's time is over.
+#[test]
+fn begins_to_relay_a_slow_response_in_the_time_of_its_request() {
+    relay_at_each_pace(SHORT_TIME);
+}
+
 /// Guards against taking the time in which a client does not read for a pause of its upstream.
 #[test]
 fn relays_a_slow_response_to_a_client_that_reads_slowly() {
@@ -62,6 +73,95 @@
     run_plays(plays);
 }
 
+/// A balancer before two upstreams, whose attempts to the first time out early, as it fails often.
+/// The upstreams answer requests whose id begins with `slow` by `serve_slow`.
+fn balancer_with_early_timeouts(
+    serve_slow: impl Fn(&mut BufReader<TcpStream>) -> bool + Clone + Send + Sync + 'static,
+) -> BalancerProcess {
+    const QUICK_REQUESTS: usize = 60;
+    let request_count = AtomicUsize::new(0);
+    let serve_slow_too = serve_slow.clone();
+    let unreliable = start_threaded_upstream(move |stream| {
+        answer_requests(stream, &serve_slow_too, || {
+            request_count
+                .fetch_add(1, Ordering::SeqCst)
+                .is_multiple_of(3)
+        });
+    });
+    let reliable = start_threaded_upstream(move |stream| {
+        answer_requests(stream, &serve_slow, || false);
+    });
+    let balancer = BalancerProcess::with_upstreams(&[unreliable, reliable]);
+    let mut client = balancer.client();
+    for id in 0..QUICK_REQUESTS {
+        client.call(&get_request(&id.to_string(), "15000m"));
+    }
+    balancer
+}
+
+/// Answers slow requests by `serve_slow`, until it returns false, and others at once.
+fn answer_requests(
+    stream: &mut BufReader<TcpStream>,
+    serve_slow: impl Fn(&mut BufReader<TcpStream>) -> bool,
+    fails: impl Fn() -> bool,
+) {
+    loop {
+        let head = read_head(stream);
+        if head.is_empty() {
+            return;
+        }
+        if head.contains("slow") {
+            if !serve_slow(stream) {
+                return;
+            }
+            continue;
+        }
+        let status = if fails() { "500 Error" } else { "200 OK" };
+        let response = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        send_bytes(stream, response.as_bytes());
+    }
+}
+
+/// The time of a request that is answered slowly.
+const SLOW_REQUEST_TIME: Duration = Duration::from_secs(3);
+
+const SLOW_REQUESTS: usize = 12;
+
+/// Sends an idempotent request that is answered slowly. Returns its client, and when it was sent.
+fn send_slow_request(balancer: &BalancerProcess, id: usize) -> (BufReader<TcpStream>, Instant) {
+    let deadline = format!("{}m", SLOW_REQUEST_TIME.as_millis());
+    let request = get_request(&format!("slow-{id}"), &deadline);
+    let mut client = connect(balancer.address);
+    send_bytes(&mut client, request.as_bytes());
+    (client, Instant::now())
+}
+
+/// Guards against early timeouts that cut off a response which is being sent: the retry would be as
+/// slow.
+#[test]
+fn does_not_cut_off_a_slow_response_by_an_early_timeout() {
+    let cut_off = Arc::new(AtomicUsize::new(0));
+    let serve = {
+        let cut_off = cut_off.clone();
+        move |stream: &mut BufReader<TcpStream>| {
+            let is_sent = serve_slowly(stream, ResponseFraming::Chunked, STEADY);
+            cut_off.fetch_add(usize::from(!is_sent), Ordering::SeqCst);
+            is_sent
+        }
+    };
+    let balancer = balancer_with_early_timeouts(serve);
+    let requests: Vec<_> = (0..SLOW_REQUESTS)
+        .map(|id| send_slow_request(&balancer, id))
+        .collect();
+    for (client, sent_at) in requests {
+        receive(client, sent_at).expect_complete(SLOW_TIMEOUT, "a slow response");
+    }
+    assert_eq!(cut_off.load(Ordering::SeqCst), 0, "attempts were cut off");
+}
+
+/// Longer than all slow responses together take.
+const SLOW_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Nothing of a response is passed on while it is buffered, so an idempotent request is retried if
 /// its response ends early.
 #[test]
--- a/balancer/tests/stalled_responses.rs
+++ b/balancer/tests/stalled_responses.rs
@@ -15,9 +15,10 @@
 /// The start of a response at once.
 const START: &[Part] = &[part(5_000, 5_000, 0)];
 /// The start of a response in steady pieces, which end before its request's time.
-const STEADY_START: &[Part] = &[part(10_000, 500, 50)];
+const STEADY_START: &[Part] = &[part(5_000, 500, 50)];
 /// A byte for each 30 ms, for longer than a play.
 const DRIP: &[Part] = &[part(1_000, 1, 30)];
+
 /// Checks that a client gets its final answer and the upstream's connection is closed in time.
 fn expect_end(framing: ResponseFraming, parts: &'static [Part], time: Duration, limit: Duration) {
     let (upstream, closed) = start_stalling_upstream(framing, parts);
