Await a paused response until its client is owed the end

What callers saw: a response of unstated length that was being passed on, and that paused for 0.7 s when its request's time was over, was cut off at the deadline.

Cause: with less than 64 KiB passed on it ended at the deadline, although a final response is due only half a second later.

Change: the relay ends it 0.3 s after the deadline, which leaves 0.15 s for a busy machine and the time to the client. What counts as late progress needs the least rate too, so that the last byte of a drip does not extend it.

--- a/balancer/src/outbound/body_pace.rs
+++ b/balancer/src/outbound/body_pace.rs
@@ -42,10 +42,12 @@
         self.received_at = Some(now);
     }
 
-    /// Whether data has arrived after this time.
-    pub fn has_received_after(&self, time: Instant) -> bool {
-        self.received_at
-            .is_some_and(|received_at| received_at > time)
+    /// Whether data has arrived after this time, and at the least rate so far.
+    pub fn made_progress_after(&self, time: Instant) -> bool {
+        let has_received = self
+            .received_at
+            .is_some_and(|received_at| received_at > time);
+        has_received && !self.remaining_wait().is_zero()
     }
 
     /// Until when the body counts as in progress if nothing more arrives; `None` if nothing has
--- a/balancer/src/outbound/body_pace/tests.rs
+++ b/balancer/src/outbound/body_pace/tests.rs
@@ -82,3 +82,17 @@
     body.receive(0, 1_000);
     assert!(body.is_in_progress_after(300));
 }
+
+/// Guards against taking the last byte of a drip for a large body that goes on late.
+#[test]
+fn drip_makes_no_progress_after_any_time() {
+    for (length, makes_progress) in [(1, false), (100, true)] {
+        let mut body = Body::new();
+        for _ in 0..100 {
+            body.receive(30, length);
+        }
+        let before_last = body.now - MILLISECOND;
+        assert_eq!(body.pace.made_progress_after(before_last), makes_progress);
+        assert!(!body.pace.made_progress_after(body.now));
+    }
+}
--- a/balancer/src/outbound/response_progress.rs
+++ b/balancer/src/outbound/response_progress.rs
@@ -47,9 +47,9 @@
         self.pace.borrow_mut().record_data(Instant::now(), length);
     }
 
-    /// Whether more of the body has arrived after this time.
-    pub fn has_received_after(&self, time: Instant) -> bool {
-        self.pace.borrow().has_received_after(time)
+    /// Whether more of the body has arrived after this time, and at the least rate so far.
+    pub fn made_progress_after(&self, time: Instant) -> bool {
+        self.pace.borrow().made_progress_after(time)
     }
 
     /// Until when the body counts as in progress if nothing more arrives; `None` if nothing has
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -18,9 +18,10 @@
 /// request's deadline.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A body that is still in progress this long after its request's deadline cannot be a small one
-/// that is in time, and is awaited like a large one.
-const FINAL_RESPONSE_GRACE: Duration = Duration::from_millis(500);
+/// How long after its request's deadline the end of a response may come that is not complete. A body
+/// of which more arrives later cannot be a small one that is in time, and is awaited like a large
+/// one.
+const FINAL_RESPONSE_GRACE: Duration = Duration::from_millis(300);
 
 /// A body that is relayed to the client.
 ///
@@ -129,7 +130,9 @@
     fn frame_deadline(&self, started_at: Instant) -> FrameDeadline {
         match self.completion_deadline() {
             Some(deadline) => FrameDeadline {
-                at: self.end_of_progress(started_at).max(deadline),
+                at: self
+                    .end_of_progress(started_at)
+                    .max(deadline + FINAL_RESPONSE_GRACE),
                 outcome: AttemptOutcome::Timeout,
             },
             None => FrameDeadline {
@@ -150,7 +153,7 @@
         let deadline = self.request.deadline.get()?;
         let is_late = self
             .progress
-            .has_received_after(deadline + FINAL_RESPONSE_GRACE);
+            .made_progress_after(deadline + FINAL_RESPONSE_GRACE);
         (self.may_be_small() && !is_late).then_some(deadline)
     }
 
--- a/balancer/tests/slow_responses.rs
+++ b/balancer/tests/slow_responses.rs
@@ -26,10 +26,10 @@
 /// Shorter than that.
 const SHORT_TIME: Duration = Duration::from_millis(600);
 
-fn relay_at_each_pace(time: Duration) {
+fn relay_at_paces(paces: &[&'static [Part]], time: Duration) {
     let mut plays: Vec<Play> = Vec::new();
     for framing in RESPONSE_FRAMINGS {
-        for parts in PACES {
+        for &parts in paces {
             plays.push(Box::new(move || {
                 let upstream = start_slow_upstream(framing, parts, Duration::ZERO);
                 let balancer = BalancerProcess::with_upstreams(&[upstream]);
@@ -45,13 +45,25 @@
 /// than 64 KiB have been sent by then.
 #[test]
 fn relays_a_slow_response_beyond_the_time_of_its_request() {
-    relay_at_each_pace(TIME);
+    relay_at_paces(&PACES, TIME);
 }
 
 /// Guards against buffering a response of unstated length until its request's time is over.
 #[test]
 fn begins_to_relay_a_slow_response_in_the_time_of_its_request() {
-    relay_at_each_pace(SHORT_TIME);
+    relay_at_paces(&PACES, SHORT_TIME);
+}
+
+/// Guards against ending a response that pauses when the time of its request is over, before the
+/// client is owed the end.
+#[test]
+fn relays_a_response_that_pauses_at_the_deadline() {
+    const PAUSE_AT_DEADLINE: &[Part] = &[
+        part(25_000, 2_500, 50),
+        part(2_500, 2_500, 750),
+        part(72_500, 2_500, 10),
+    ];
+    relay_at_paces(&[PAUSE_AT_DEADLINE], TIME);
 }
 
 /// Guards against taking the time in which a client does not read for a pause of its upstream.
