End large responses that drip once they have been too slow for 10 s

What callers saw: a response known to be large that came byte by byte held its client, both connections and the memory of a relay without end.

Cause: each byte started the stall limit of 10 s anew.

Change: the limit is a budget. Waiting for the upstream uses it up, and data restore the time that they take at the least rate, up to 10 s.

--- a/balancer/src/outbound/body_pace.rs
+++ b/balancer/src/outbound/body_pace.rs
@@ -1,4 +1,5 @@
 //! How steadily an upstream sends the body of a response.
+use crate::body::limits::BODY_STALL_TIMEOUT;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -11,7 +12,7 @@
 
 /// The pace of one body. Only the time spent waiting for the upstream counts, not the time in which
 /// the receiver does not take what has arrived.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct BodyPace {
     received_bytes: u64,
     /// When data arrived last.
@@ -22,6 +23,22 @@
     waited: Duration,
     /// The longest single wait since the first byte.
     longest_pause: Duration,
+    /// How long the upstream may still be awaited until the body has stalled. Waiting uses it up,
+    /// and data restores the time that they take at the least rate, up to [`BODY_STALL_TIMEOUT`].
+    stall_budget: Duration,
+}
+
+impl Default for BodyPace {
+    fn default() -> BodyPace {
+        BodyPace {
+            received_bytes: 0,
+            received_at: None,
+            waiting_since: None,
+            waited: Duration::ZERO,
+            longest_pause: Duration::ZERO,
+            stall_budget: BODY_STALL_TIMEOUT,
+        }
+    }
 }
 
 impl BodyPace {
@@ -32,12 +49,17 @@
 
     /// So many bytes of data have arrived.
     pub fn record_data(&mut self, now: Instant, length: usize) {
-        let pause = match self.waiting_since.take() {
-            Some(since) if self.received_bytes > 0 => now - since,
-            _ => Duration::ZERO,
-        };
-        self.waited += pause;
-        self.longest_pause = self.longest_pause.max(pause);
+        let wait = self
+            .waiting_since
+            .take()
+            .map_or(Duration::ZERO, |since| now - since);
+        if self.received_bytes > 0 {
+            self.waited += wait;
+            self.longest_pause = self.longest_pause.max(wait);
+        }
+        let restored = time_at_least_rate(length as u64);
+        let budget = self.stall_budget.saturating_sub(wait) + restored;
+        self.stall_budget = budget.min(BODY_STALL_TIMEOUT);
         self.received_bytes += length as u64;
         self.received_at = Some(now);
     }
@@ -60,16 +82,26 @@
         Some(since + self.allowed_pause().min(self.remaining_wait()))
     }
 
+    /// When the body has stalled, by a pause or by a rate below the least one, if nothing more arrives.
+    pub fn stalls_at(&self, now: Instant) -> Instant {
+        self.waiting_since.unwrap_or(now) + self.stall_budget
+    }
+
     fn allowed_pause(&self) -> Duration {
         (self.longest_pause * ALLOWED_PAUSE_FACTOR).max(MIN_ALLOWED_PAUSE)
     }
 
     /// For how long the upstream may be awaited until its rate is below the least one.
     fn remaining_wait(&self) -> Duration {
-        let allowed = Duration::from_secs_f64(self.received_bytes as f64 / MIN_BYTES_PER_SECOND);
-        (MIN_ALLOWED_PAUSE + allowed).saturating_sub(self.waited)
+        let allowed = MIN_ALLOWED_PAUSE + time_at_least_rate(self.received_bytes);
+        allowed.saturating_sub(self.waited)
     }
 }
 
+/// How long so many bytes take at the least rate.
+fn time_at_least_rate(bytes: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND)
+}
+
 #[cfg(test)]
 mod tests;
--- a/balancer/src/outbound/body_pace/tests.rs
+++ b/balancer/src/outbound/body_pace/tests.rs
@@ -96,3 +96,31 @@
         assert!(!body.pace.made_progress_after(body.now));
     }
 }
+
+/// After how long a body stalls that receives `length` bytes every `interval_ms`.
+fn stalls_after(interval_ms: u32, length: usize) -> Option<Duration> {
+    const PIECES: u32 = 2_000;
+    let mut body = Body::new();
+    let start = body.now;
+    for _ in 0..PIECES {
+        body.pace.begin_wait(body.now);
+        let stalls_at = body.pace.stalls_at(body.now);
+        if stalls_at < body.now + interval_ms * MILLISECOND {
+            return Some(stalls_at - start);
+        }
+        body.receive(interval_ms, length);
+    }
+    None
+}
+
+/// Guards against drips that hold their connections for ever, and against ending what is slow.
+#[test]
+fn body_below_the_least_rate_stalls() {
+    let seconds = |count| Duration::from_secs(count);
+    assert_eq!(stalls_after(11_000, 1_000_000), Some(seconds(10)));
+    assert!(stalls_after(100, 1).is_some_and(|after| after < seconds(11)));
+    assert!(stalls_after(1_000, 500).is_some_and(|after| after <= seconds(21)));
+    for (interval_ms, length) in [(50, 64), (9_000, 10_000), (1_000, 1_000)] {
+        assert_eq!(stalls_after(interval_ms, length), None, "{length} bytes");
+    }
+}
--- a/balancer/src/outbound/response_progress.rs
+++ b/balancer/src/outbound/response_progress.rs
@@ -58,6 +58,11 @@
         self.pace.borrow().in_progress_until(now)
     }
 
+    /// When the body has stalled if nothing more arrives.
+    pub fn stalls_at(&self, now: Instant) -> Instant {
+        self.pace.borrow().stalls_at(now)
+    }
+
     /// Whether the response has arrived completely.
     pub fn is_complete(&self) -> bool {
         self.stage.get() == ResponseStage::Complete
--- a/balancer/tests/stalled_responses.rs
+++ b/balancer/tests/stalled_responses.rs
@@ -4,6 +4,9 @@
 use common::*;
 use std::time::Duration;
 
+/// How long a response that makes no progress is awaited beyond its request's time, if it is known
+/// to be large.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Extra time that a busy machine may take.
 const SCHEDULING_MARGIN: Duration = Duration::from_secs(1);
 
@@ -16,9 +19,14 @@
 const START: &[Part] = &[part(5_000, 5_000, 0)];
 /// The start of a response in steady pieces, which end before its request's time.
 const STEADY_START: &[Part] = &[part(5_000, 500, 50)];
+/// The start of a response at once, from which it is known to be large.
+const LARGE_START: &[Part] = &[part(80_000, 80_000, 0)];
 /// A byte for each 30 ms, for longer than a play.
 const DRIP: &[Part] = &[part(1_000, 1, 30)];
 
+/// A large response that begins at once and then drips.
+const LARGE_START_AND_DRIP: &[Part] = &[part(80_000, 80_000, 0), part(200, 1, 100)];
+
 /// Checks that a client gets its final answer and the upstream's connection is closed in time.
 fn expect_end(framing: ResponseFraming, parts: &'static [Part], time: Duration, limit: Duration) {
     let (upstream, closed) = start_stalling_upstream(framing, parts);
@@ -57,3 +65,23 @@
     }
     run_plays(plays);
 }
+
+/// Guards against large responses that stop or drip for ever.
+#[test]
+fn ends_a_large_response_that_stops_or_drips() {
+    let mut plays: Vec<Play> = Vec::new();
+    for framing in RESPONSE_FRAMINGS {
+        for parts in [LARGE_START, LARGE_START_AND_DRIP] {
+            plays.push(Box::new(move || {
+                expect_end(framing, parts, TIME, STALL_TIMEOUT + SCHEDULING_MARGIN);
+            }));
+        }
+    }
+    for parts in [START, DRIP] {
+        plays.push(Box::new(move || {
+            let framing = ResponseFraming::StatedLength;
+            expect_end(framing, parts, TIME, STALL_TIMEOUT + SCHEDULING_MARGIN);
+        }));
+    }
+    run_plays(plays);
+}
