Pass on responses that wait for memory when their time is over

What callers saw: while buffered bodies used all memory, 503 at the deadline although the upstream was sending a large response of unstated length.

Cause: such a response waited for memory before anything of it was read, so that it never counted as in progress.

Change: its first bytes are read and wait for memory where hyper has read them. When the request's time is over they are passed on.

--- a/balancer/src/body/body_buffer.rs
+++ b/balancer/src/body/body_buffer.rs
@@ -67,14 +67,21 @@
         Ok(())
     }
 
-    /// Waits until there is memory for the first bytes, or for all of a small body of stated length,
-    /// and allocates it. The caller limits the time.
-    pub async fn allocate_first_bytes(&mut self) {
+    /// Waits until there is memory for all of a small body of stated length, and allocates it. The
+    /// caller limits the time.
+    pub async fn allocate_when_possible(&mut self) {
         while self.reserve(self.first_capacity).is_err() {
             sleep(MEMORY_CHECK_INTERVAL).await;
         }
     }
 
+    /// Waits until there is memory for `chunk`, and appends a copy of it. The caller limits the time.
+    pub async fn append_when_possible(&mut self, chunk: &[u8]) {
+        while self.append(chunk).is_err() {
+            sleep(MEMORY_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Appends a copy of the last `chunk` of this buffer, for which no memory could be reserved.
     pub fn append_beyond_budget(&mut self, chunk: &[u8]) {
         self.bytes.reserve_exact(chunk.len());
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -1,7 +1,7 @@
 //! Buffers the bodies of small responses, so that nothing is passed on of one that fails.
 use crate::body::body_buffer::BodyBuffer;
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
-use crate::net::memory_budget::MemoryBudget;
+use crate::net::memory_budget::{MemoryBudget, MemoryExhausted};
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::outbound::response_progress::ResponseProgress;
 use crate::time::sleep_until;
@@ -26,7 +26,8 @@
 
 /// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
 /// declares a large length. A body that declares a small length waits for memory and is read to its
-/// end, which only the attempt's timeout limits. Records in `progress` what arrives.
+/// end, which only the attempt's timeout limits. One of undeclared length waits for memory with its
+/// first bytes, until the time of its request is over. Records in `progress` what arrives.
 pub async fn buffer_body(
     body: &mut Incoming,
     declared_length: Option<u64>,
@@ -75,7 +76,9 @@
 
 impl Buffering<'_> {
     async fn run(mut self) -> Result<BufferedBody, AttemptOutcome> {
-        self.buffer.allocate_first_bytes().await;
+        if self.relay_at.is_none() {
+            self.buffer.allocate_when_possible().await;
+        }
         while self.buffer.len() <= MAX_BUFFERED_BODY_BYTES {
             let frame = match self.next_event().await? {
                 BufferEvent::Frame(frame) => frame,
@@ -89,7 +92,7 @@
                 continue;
             };
             self.progress.record_data(data.len());
-            if self.buffer.append(data).is_err() {
+            if self.append(data).await.is_err() {
                 self.buffer.append_beyond_budget(data);
                 break;
             }
@@ -97,6 +100,19 @@
         Ok(BufferedBody::Partial(self.buffer.into_bytes()))
     }
 
+    /// Appends data to the buffer. Fails if there is too little memory; the first bytes wait for it
+    /// as long as the request has time.
+    async fn append(&mut self, data: &[u8]) -> Result<(), MemoryExhausted> {
+        if self.buffer.len() > 0 {
+            return self.buffer.append(data);
+        }
+        tokio::select! {
+            biased;
+            () = self.buffer.append_when_possible(data) => Ok(()),
+            () = self.progress.relay_requested() => Err(MemoryExhausted),
+        }
+    }
+
     async fn next_event(&mut self) -> Result<BufferEvent, AttemptOutcome> {
         self.progress.begin_wait();
         // Before the first byte there is nothing to relay.
--- a/balancer/tests/slow_responses.rs
+++ b/balancer/tests/slow_responses.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// The same rate as [`STEADY`] in large pieces.
@@ -205,3 +206,49 @@
         assert_eq!(attempts.load(Ordering::SeqCst), 2, "{framing:?}");
     }
 }
+
+/// Guards against responses that wait for memory until their request's time is over. Requests that
+/// wait for their upstream use all memory for buffered bodies.
+#[test]
+fn relays_a_slow_response_for_which_no_memory_is_left() {
+    /// Leaves 128 KiB for buffered bodies.
+    const MEMORY_MB: &str = "\"memory_mb\":1";
+    const BUFFERED_BYTES: usize = 64 << 10;
+    let mut plays: Vec<Play> = Vec::new();
+    for framing in RESPONSE_FRAMINGS {
+        for time in [SHORT_TIME, TIME] {
+            plays.push(Box::new(move || {
+                let upstream = start_threaded_upstream(move |stream| {
+                    if read_head(stream).starts_with("POST") {
+                        sleep(SLOW_TIMEOUT);
+                        return;
+                    }
+                    serve_slowly(stream, framing, STEADY);
+                });
+                let discovery = StubDiscovery::start();
+                let endpoints = active_endpoints(&[upstream]);
+                let config = balancer_config(discovery.address, 1024, &endpoints).replacen(
+                    "\"memory_mb\":192",
+                    MEMORY_MB,
+                    1,
+                );
+                let balancer = BalancerProcess::run(balancer_command(&config), discovery);
+                let length = format!("Content-Length: {BUFFERED_BYTES}");
+                let _waiting: Vec<_> = ["w1", "w2"]
+                    .map(|id| {
+                        let mut client = connect(balancer.address);
+                        send_bytes(&mut client, upload_head(id, &length).as_bytes());
+                        send_bytes(&mut client, &test_bytes(BUFFERED_BYTES));
+                        client
+                    })
+                    .into();
+                sleep(Duration::from_millis(200));
+                let mut client = connect(balancer.address);
+                let request = get_request("r1", &format!("{}m", time.as_millis()));
+                send_bytes(&mut client, request.as_bytes());
+                receive(client, Instant::now()).expect_complete(time, &format!("{framing:?}"));
+            }));
+        }
+    }
+    run_plays(plays);
+}
