Pass on responses in progress when a shutdown fails pending requests

What callers saw: 502 from a process that ends, while the upstream was sending a large response of unstated length; after SIGTERM, PAUSE and SIGTERM, and at an upgrade.

Cause: the driver fails what is pending 3.5 s after SIGTERM, and a response that is being buffered counted as pending.

Change: a response in progress is passed on instead, as at its request's deadline.

--- a/balancer/src/control/attempts.rs
+++ b/balancer/src/control/attempts.rs
@@ -118,6 +118,13 @@
             .map(|attempt| &*attempt.response_progress)
     }
 
+    /// The time of an attempt's request is over. Returns whether the response is passed on
+    /// nevertheless; see [`ResponseProgress::pass_on`].
+    pub fn pass_on_response(&self, id: AttemptId) -> bool {
+        self.response_progress(id)
+            .is_some_and(ResponseProgress::pass_on)
+    }
+
     /// Whether any attempt to this endpoint is in flight.
     pub fn has_attempt_to(&self, upstream: UpstreamId) -> bool {
         self.by_id
--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -154,8 +154,7 @@
 
     /// Resolves the timeout of an attempt whose request has expired.
     fn resolve_expiry(&self, id: AttemptId, is_body_complete: bool) -> TimeoutResolution {
-        let progress = self.attempts.response_progress(id);
-        if progress.is_some_and(|progress| progress.is_complete() || progress.request_relay()) {
+        if self.attempts.pass_on_response(id) {
             return TimeoutResolution::ResponseKept;
         }
         if is_body_complete {
--- a/balancer/src/control/driver_state/requests.rs
+++ b/balancer/src/control/driver_state/requests.rs
@@ -2,7 +2,6 @@
 use super::DriverState;
 use crate::body::request_body::RequestBody;
 use crate::clock::{from_millis, to_millis};
-use crate::control::attempt_id::AttemptId;
 use crate::control::pending_requests::PendingRequest;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
@@ -84,9 +83,12 @@
         self.latest_deadline = Some(Instant::now() + within);
     }
 
-    /// Fails each request without a final response. Returns the ids of the failed requests.
+    /// Fails each request without a final response, unless its response is in progress, which is then
+    /// passed on. Returns the ids of the failed requests.
     pub fn fail_pending(&mut self) -> Vec<RequestId> {
-        self.pending.fail_all()
+        let attempts = &self.attempts;
+        self.pending
+            .fail_all_unless(|latest_attempt| attempts.pass_on_response(latest_attempt))
     }
 
     /// Removes a request that has ended and has no attempt in flight.
@@ -99,9 +101,7 @@
     pub fn request_body_complete(&mut self, request: RequestId) -> Option<Millis> {
         let pending = self.pending.get_mut(request)?;
         let deadline = pending.record_body_complete(self.latest_deadline);
-        // The latest attempt. If none was started, no attempt has the number that results.
-        let number = pending.attempt_count().wrapping_sub(1);
-        let id = AttemptId { request, number };
+        let id = pending.latest_attempt(request);
         if let Some(attempt) = self.attempts.get_mut(id) {
             if !attempt.has_response_started() {
                 attempt.record_body_complete(Instant::now());
--- a/balancer/src/control/pending_requests.rs
+++ b/balancer/src/control/pending_requests.rs
@@ -1,6 +1,7 @@
 //! The requests that wait for their final response or still have an attempt in flight.
 use crate::body::request_body::RequestBody;
 use crate::clock::{from_millis, to_millis};
+use crate::control::attempt_id::AttemptId;
 use crate::invariants::{AttemptHistory, Guard};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::telemetry::guard_counts::Rule;
@@ -112,6 +113,13 @@
         self.history.started()
     }
 
+    /// The latest attempt of this request, whose id is `request`. If none was started, no attempt has
+    /// the id that results.
+    pub fn latest_attempt(&self, request: RequestId) -> AttemptId {
+        let number = self.attempt_count().wrapping_sub(1);
+        AttemptId { request, number }
+    }
+
     /// Records the start of an attempt, unless the guard denies it.
     pub fn record_attempt_start(&mut self, guard: &Guard) -> Result<(), Rule> {
         guard.start_attempt(&mut self.history, &self.request.label())
@@ -238,10 +246,17 @@
             .count()
     }
 
-    /// Fails each request without a final response. Returns the ids of the failed requests.
-    pub fn fail_all(&mut self) -> Vec<RequestId> {
+    /// Fails each request without a final response, unless its latest attempt will give it one. Returns
+    /// the ids of the failed requests.
+    pub fn fail_all_unless(
+        &mut self,
+        gives_response: impl Fn(AttemptId) -> bool,
+    ) -> Vec<RequestId> {
         let mut failed = Vec::new();
         for (&id, pending) in &mut self.by_id {
+            if gives_response(pending.latest_attempt(id)) {
+                continue;
+            }
             if pending.respond(FinalResponse::Failed) != Delivery::AlreadyEnded {
                 failed.push(id);
             }
--- a/balancer/src/outbound/response_progress.rs
+++ b/balancer/src/outbound/response_progress.rs
@@ -76,9 +76,12 @@
             .filter(|until| has_begun && *until > now)
     }
 
-    /// The time of the request is over. Returns whether the response is passed on nevertheless, from
-    /// now on, as it is in progress.
-    pub fn request_relay(&self) -> bool {
+    /// The time of the request is over. Returns whether the response is passed on nevertheless: one
+    /// that is complete is about to be, and one that is in progress is from now on.
+    pub fn pass_on(&self) -> bool {
+        if self.is_complete() {
+            return true;
+        }
         let is_relayable = self.relayable_until(Instant::now()).is_some();
         if is_relayable {
             self.relay_requested.notify_one();
--- a/balancer/src/outbound/response_progress/tests.rs
+++ b/balancer/src/outbound/response_progress/tests.rs
@@ -24,18 +24,18 @@
 async fn response_in_progress_is_passed_on_when_the_time_of_its_request_is_over() {
     let progress = begun_response(100);
     assert!(!is_relay_requested(&progress).await);
-    assert!(progress.request_relay());
+    assert!(progress.pass_on());
     assert!(is_relay_requested(&progress).await);
 }
 
 /// Guards against giving up the retry for a response that may never end.
 #[tokio::test(flavor = "local", start_paused = true)]
 async fn response_without_progress_is_not_passed_on() {
-    assert!(!ResponseProgress::default().request_relay());
-    assert!(!begun_response(0).request_relay());
+    assert!(!ResponseProgress::default().pass_on());
+    assert!(!begun_response(0).pass_on());
     let stalled = begun_response(100_000);
     tokio::time::sleep(Duration::from_secs(1)).await;
-    assert!(!stalled.request_relay());
+    assert!(!stalled.pass_on());
     assert!(!is_relay_requested(&stalled).await);
 }
 
@@ -44,5 +44,13 @@
 async fn response_that_must_be_complete_is_not_passed_on() {
     let progress = ResponseProgress::default();
     progress.record_data(100);
-    assert!(!progress.request_relay());
+    assert!(!progress.pass_on());
+}
+
+/// Guards against ending an attempt that has its response and returns its connection.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn complete_response_is_passed_on() {
+    let progress = ResponseProgress::default();
+    progress.record_complete();
+    assert!(progress.pass_on());
 }
--- a/balancer/tests/response_delivery.rs
+++ b/balancer/tests/response_delivery.rs
@@ -21,22 +21,6 @@
 /// the shutdown takes anyway with the deadlines of the tests, or 4 s, and a margin for a busy machine.
 const MAX_EXIT_TIME: Duration = Duration::from_secs(6);
 
-/// What ends the balancer.
-#[derive(Clone, Copy, Debug)]
-enum Ending {
-    Terminate,
-    /// A pause by operators, and SIGTERM.
-    PauseAndTerminate,
-    /// SIGTERM while another process of the balancer serves.
-    Upgrade,
-}
-
-const ENDINGS: [Ending; 3] = [
-    Ending::Terminate,
-    Ending::PauseAndTerminate,
-    Ending::Upgrade,
-];
-
 /// An upstream that sends one response.
 fn start_upstream(framing: Framing, length: usize) -> SocketAddr {
     let body = WireBody::new(framing, length, CHUNK_BYTES);
@@ -55,31 +39,13 @@
     client
 }
 
-/// Ends a balancer. Returns its successor, if there is one.
-fn end(
-    balancer: &BalancerProcess,
-    ending: Ending,
-    start: impl Fn() -> BalancerProcess,
-) -> Option<BalancerProcess> {
-    let successor = match ending {
-        Ending::Terminate => None,
-        Ending::PauseAndTerminate => {
-            assert!(balancer.call_admin(b"PAUSE\n").starts_with("YES"));
-            None
-        }
-        Ending::Upgrade => Some(start()),
-    };
-    balancer.terminate();
-    successor
-}
-
 /// A client reads a response at [`READ_RATE`] while its balancer ends. The balancer exits by itself.
 fn expect_complete_response(ending: Ending, framing: Framing, length: usize) {
     let upstream = start_upstream(framing, length);
     let folder = state_folder(&format!("delivery-{ending:?}-{framing:?}-{length}"));
     let mut balancer = BalancerProcess::in_state_folder(&folder, None, &[upstream]);
     let client = start_response(connect(balancer.address));
-    let successor = end(&balancer, ending, || {
+    let successor = ending.end(&balancer, || {
         BalancerProcess::in_state_folder(&folder, Some(&balancer), &[upstream])
     });
     let received = read_body_slowly(client, framing, length, READ_RATE);
