End sending to the client of a truncated response before its input is discarded

What callers saw: while part of its request was unread, a client learned 0.5 s late that its response had ended early.

Cause: the rest of the input is read and discarded for 0.5 s before the connection is closed. hyper ends its sending after a complete response, nothing did so after a truncated one.

Change: the connection's task shuts the sending side down first.

--- a/balancer/src/inbound/connection_task.rs
+++ b/balancer/src/inbound/connection_task.rs
@@ -17,7 +17,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// While connections are being closed (see [`Phase::closes_connections`]), one that has been idle
 /// for this long is closed. If it has been idle for less, its next request may be on the way; then
@@ -49,6 +49,9 @@
     connection.unmark_idle();
     if connection.discards_input_before_close() {
         let mut stream = connection.stream().clone();
+        // The client of a truncated response learns of its end at once. hyper has done the same after
+        // a complete one.
+        let _ = stream.shutdown().await;
         let _ = timeout(DISCARD_TIMEOUT, discard_input(&mut stream)).await;
     }
 }
--- a/balancer/tests/slow_responses.rs
+++ b/balancer/tests/slow_responses.rs
@@ -201,7 +201,7 @@
         });
         let balancer = BalancerProcess::with_upstreams(&[upstream]);
         let mut client = connect(balancer.address);
-        send_bytes(&mut client, get_request("r1", "1500m").as_bytes());
+        send_bytes(&mut client, get_request("r1", "15000m").as_bytes());
         receive(client, Instant::now()).expect_complete(TIME * 2, &format!("{framing:?}"));
         assert_eq!(attempts.load(Ordering::SeqCst), 2, "{framing:?}");
     }
