End responses without progress when a request that is not read has expired

What callers saw: a client had written a large request and waited 1.5 s; its upstream had read the start, began a response and stopped or dripped. The client got the end after 11.5 s, or as long as the drip lasted.

Cause: the relay knew only the deadline of a complete request. The balancer cannot read the end of a request whose upstream does not read on, although the client has written it.

Change: OutboundRequest knows when it expires, and the driver and the relay ask it; so it holds the client's timeout, which submit took before. One that has expired is for the relay as one whose deadline has passed.

--- a/balancer/src/control/driver/submission.rs
+++ b/balancer/src/control/driver/submission.rs
@@ -4,7 +4,7 @@
 use crate::body::upload::UploadObserver;
 use crate::control::driver_state::requests::NewRequest;
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
-use balancer_core::{Event, Millis, Request, RequestId};
+use balancer_core::{Event, Request, RequestId};
 use tokio::sync::oneshot;
 
 /// A request that waits for its final response. Dropping it reports that the client has disconnected.
@@ -50,19 +50,16 @@
 
 impl DriverHandle {
     /// Submits a request of a class and tenant, given by their positions in the settings. The request receives at most
-    /// one final response: none if its client disconnects first. The client waits `client_timeout` milliseconds after
-    /// the end of its request.
+    /// one final response: none if its client disconnects first.
     pub fn submit(
         &self,
         class: usize,
         tenant: usize,
-        client_timeout: Millis,
         request: OutboundRequest,
     ) -> Result<ResponseFuture, SubmitError> {
         let submitted = self.0.state.borrow_mut().submit(NewRequest {
             class,
             tenant,
-            client_timeout,
             request,
         })?;
         let id = submitted.id;
--- a/balancer/src/control/driver/tests.rs
+++ b/balancer/src/control/driver/tests.rs
@@ -81,9 +81,7 @@
         let mut listener = FullListener::bind();
         let driver = driver_with(listener.address());
         let start = Instant::now();
-        let _response = driver
-            .submit(0, 0, 20_000.0, get_request())
-            .expect("is submitted");
+        let _response = driver.submit(0, 0, get_request()).expect("is submitted");
         tokio::time::sleep(Duration::from_millis(100)).await;
         listener.empty_queue();
         let connection = tokio::task::spawn_blocking(move || listener.accept())
@@ -135,9 +133,7 @@
     };
     let test = async {
         let driver = driver_with(start_stalling_upstream());
-        let response = driver
-            .submit(0, 0, 20_000.0, get_request())
-            .expect("is submitted");
+        let response = driver.submit(0, 0, get_request()).expect("is submitted");
         let resolve = || driver.0.state.borrow_mut().resolve_timeout(ATTEMPT);
         assert_eq!(resolve(), TimeoutResolution::ResponseOverdue, "no response");
         while resolve() == TimeoutResolution::ResponseOverdue {
--- a/balancer/src/control/driver_state/requests.rs
+++ b/balancer/src/control/driver_state/requests.rs
@@ -1,7 +1,7 @@
 //! The driver's pending requests: submission, deadlines and final responses.
 use super::DriverState;
 use crate::body::request_body::RequestBody;
-use crate::clock::{from_millis, to_millis};
+use crate::clock::to_millis;
 use crate::control::pending_requests::PendingRequest;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
@@ -11,17 +11,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Milliseconds subtracted from a client's timeout, so that the final response arrives before the client stops waiting.
-const RESPONSE_DELIVERY_MARGIN_MS: Millis = 5.0;
-
 /// A request as the task of its client's connection submits it.
 pub struct NewRequest {
     /// Position of its class in the settings.
     pub class: usize,
     /// Position of its tenant in the settings.
     pub tenant: usize,
-    /// How long the client waits after the end of its request, in milliseconds.
-    pub client_timeout: Millis,
     /// The request as attempts send it.
     pub request: OutboundRequest,
 }
@@ -46,11 +41,9 @@
             .get(new.class)
             .copied()
             .unwrap_or(Idempotency::NonIdempotent);
-        let response_timeout = from_millis(new.client_timeout - RESPONSE_DELIVERY_MARGIN_MS);
         let is_body_complete = matches!(new.request.body, RequestBody::Buffered(_));
         let (response_sender, response) = oneshot::channel();
-        let mut pending =
-            PendingRequest::new(response_sender, new.request, response_timeout, idempotency);
+        let mut pending = PendingRequest::new(response_sender, new.request, idempotency);
         let deadline = if is_body_complete {
             self.core_time(pending.record_body_complete(self.latest_deadline))
         } else {
@@ -62,7 +55,7 @@
             request = id.0,
             class = new.class,
             tenant = new.tenant,
-            client_timeout_ms = to_millis(response_timeout),
+            client_timeout_ms = to_millis(request.response_timeout()),
             "request accepted"
         );
         Ok(SubmittedRequest {
--- a/balancer/src/control/pending_requests.rs
+++ b/balancer/src/control/pending_requests.rs
@@ -9,7 +9,6 @@
 use hyper::header::HeaderValue;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -29,9 +28,6 @@
     /// `None` once the final response is given or the client has disconnected.
     response_sender: Option<oneshot::Sender<FinalResponse>>,
     request: Rc<OutboundRequest>,
-    /// How long the final response may take after the end of the request: the client's timeout less the time to
-    /// deliver the response.
-    response_timeout: Duration,
     history: AttemptHistory,
     /// Whether a response is being relayed to the client.
     is_relaying_response: bool,
@@ -42,13 +38,11 @@
     pub fn new(
         response_sender: oneshot::Sender<FinalResponse>,
         request: OutboundRequest,
-        response_timeout: Duration,
         idempotency: Idempotency,
     ) -> PendingRequest {
         PendingRequest {
             response_sender: Some(response_sender),
             request: Rc::new(request),
-            response_timeout,
             history: AttemptHistory::new(idempotency),
             is_relaying_response: false,
         }
@@ -74,22 +68,19 @@
         self.is_body_complete() && (!self.has_ended() || self.is_relaying_response)
     }
 
-    /// When the request expires. While its body is incomplete, progress of its client or its upstream postpones this.
+    /// When the request expires; see [`OutboundRequest::expires_at`].
     pub fn expires_at(&self) -> Instant {
-        match (self.request.deadline.get(), &self.request.body) {
-            (Some(deadline), _) => deadline,
-            (None, RequestBody::Streamed(upload)) => upload.expires_at(self.response_timeout),
-            (None, RequestBody::Buffered(_)) => Instant::now() + self.response_timeout,
-        }
+        self.request.expires_at()
     }
 
     /// When an attempt that starts now times out: when the request expires, or after `limit_ms` if that is not zero.
     /// The upstream is told the time until then, so it is never more than the client waits after its last byte.
     pub fn attempt_deadline(&self, limit_ms: Millis, now: Instant) -> Instant {
+        let response_timeout = self.request.response_timeout();
         let limit = if limit_ms > 0.0 {
-            from_millis(limit_ms).min(self.response_timeout)
+            from_millis(limit_ms).min(response_timeout)
         } else {
-            self.response_timeout
+            response_timeout
         };
         self.expires_at().clamp(now, now + limit)
     }
@@ -101,7 +92,7 @@
             RequestBody::Streamed(upload) => upload.earliest_end(),
             RequestBody::Buffered(_) => Instant::now(),
         };
-        let response_due_at = sent_at + self.response_timeout;
+        let response_due_at = sent_at + self.request.response_timeout();
         let deadline =
             latest_deadline.map_or(response_due_at, |latest| response_due_at.min(latest));
         self.request.deadline.set(Some(deadline));
--- a/balancer/src/hollow.rs
+++ b/balancer/src/hollow.rs
@@ -3,7 +3,7 @@
 //!
 //! Each holds one connection to discovery, which counts against the process's limit of file descriptors.
 use crate::body::request_body::RequestBody;
-use crate::clock::{to_millis, Clock};
+use crate::clock::Clock;
 use crate::control::control_plane::{ControlPlane, ControlPlaneOptions};
 use crate::control::driver::DriverHandle;
 use crate::discovery::consumer::{CallFailure, EndpointConsumer};
@@ -115,9 +115,9 @@
         tenant: usize,
         client_timeout: Duration,
     ) -> RequestOutcome {
-        let submitted =
-            self.driver
-                .submit(class, tenant, to_millis(client_timeout), empty_request());
+        let submitted = self
+            .driver
+            .submit(class, tenant, empty_request(client_timeout));
         let response = match submitted {
             Ok(response) => response.response().await,
             Err(SubmitError::AtCapacity | SubmitError::DuplicateRequestId) => {
@@ -177,13 +177,14 @@
 }
 
 /// A request that is never written to a socket.
-fn empty_request() -> OutboundRequest {
+fn empty_request(client_timeout: Duration) -> OutboundRequest {
     OutboundRequest {
         request_id: None,
         method: Method::GET,
         target: Uri::default(),
         headers: HeaderMap::new(),
         body: RequestBody::Buffered(Bytes::new()),
+        client_timeout,
         deadline: Cell::new(None),
         ended: Cell::new(false),
         client: None,
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -7,7 +7,7 @@
 use crate::body::request_end::RequestEnd;
 use crate::body::time_limited_body::TimeLimitedBody;
 use crate::body::upload::Upload;
-use crate::clock::to_millis;
+use crate::clock::{from_millis, to_millis};
 use crate::control::driver::ResponseFuture;
 use crate::inbound::client_connection::{ActiveRequestGuard, ClientConnection};
 use crate::inbound::context::ServerContext;
@@ -29,6 +29,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -262,20 +263,18 @@
         RequestBody::Buffered(_) => to_millis(end.earliest().elapsed()),
         RequestBody::Streamed(_) => 0.0,
     };
-    let client_timeout_ms = (head.client_timeout_ms - time_used_ms).max(0.0);
+    let client_timeout = from_millis(head.client_timeout_ms - time_used_ms);
     let upload = match &body {
         RequestBody::Streamed(upload) => Some(upload.clone()),
         RequestBody::Buffered(_) => None,
     };
-    let outbound = outbound_request(parts, body, connection.stream().peer());
+    let outbound = outbound_request(parts, body, connection.stream().peer(), client_timeout);
     // The client may have disconnected while its connection waited for a permit or in the
     // listener's queue. Nothing has been sent to an upstream yet, so the request can be rejected.
     if connection.stream().peer_disconnected() {
         return Err(RequestError::ClientDisconnected);
     }
-    let submitted = context
-        .driver
-        .submit(head.class, head.tenant, client_timeout_ms, outbound);
+    let submitted = context.driver.submit(head.class, head.tenant, outbound);
     if let Err(SubmitError::AtCapacity) = submitted {
         context
             .metrics
@@ -322,7 +321,12 @@
     )))
 }
 
-fn outbound_request(parts: request::Parts, body: RequestBody, client: Peer) -> OutboundRequest {
+fn outbound_request(
+    parts: request::Parts,
+    body: RequestBody,
+    client: Peer,
+    client_timeout: Duration,
+) -> OutboundRequest {
     let mut headers = parts.headers;
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(&DEADLINE_HEADER);
@@ -337,6 +341,7 @@
         target,
         headers,
         body,
+        client_timeout,
         deadline: Cell::new(None),
         ended: Cell::new(false),
         client: Some(client),
--- a/balancer/src/outbound/message.rs
+++ b/balancer/src/outbound/message.rs
@@ -8,9 +8,14 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use std::borrow::Cow;
 use std::cell::Cell;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 
+/// Subtracted from a client's timeout, so that the final response arrives before the client stops
+/// waiting.
+const RESPONSE_DELIVERY_MARGIN: Duration = Duration::from_millis(5);
+
 /// A request to forward to upstreams.
 pub struct OutboundRequest {
     /// The client's id for the request.
@@ -23,6 +28,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: RequestBody,
+    /// How long the client waits after the end of its request.
+    pub client_timeout: Duration,
     /// When the final response must be given. `None` while the body is incomplete.
     pub deadline: Cell<Option<Instant>>,
     /// Set when the request has its final response or its client has disconnected: it is not
@@ -51,6 +58,21 @@
         Ok(request)
     }
 
+    /// How long the final response may take after the end of the request.
+    pub fn response_timeout(&self) -> Duration {
+        self.client_timeout.saturating_sub(RESPONSE_DELIVERY_MARGIN)
+    }
+
+    /// When the request expires. While its body is incomplete, progress of its client or its upstream
+    /// postpones this.
+    pub fn expires_at(&self) -> Instant {
+        match (self.deadline.get(), &self.body) {
+            (Some(deadline), _) => deadline,
+            (None, RequestBody::Streamed(upload)) => upload.expires_at(self.response_timeout()),
+            (None, RequestBody::Buffered(_)) => Instant::now() + self.response_timeout(),
+        }
+    }
+
     /// Whether the client has disconnected. Asks the kernel, because the runtime learns of it only
     /// when it next polls.
     pub fn client_disconnected(&self) -> bool {
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -148,9 +148,10 @@
     }
 
     /// From when on the body has to be in progress if it is not complete; `None` if that does not
-    /// apply.
+    /// apply. A client may have written its request and wait, although the upstream has not read all
+    /// of it.
     fn completion_deadline(&self) -> Option<Instant> {
-        let deadline = self.request.deadline.get()?;
+        let deadline = self.request.expires_at();
         let is_late = self
             .progress
             .made_progress_after(deadline + FINAL_RESPONSE_GRACE);
--- a/balancer/src/test_support.rs
+++ b/balancer/src/test_support.rs
@@ -7,6 +7,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+/// Longer than a test runs.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// A GET request as it is forwarded to upstreams.
 pub fn get_request() -> OutboundRequest {
     OutboundRequest {
@@ -15,6 +18,7 @@
         target: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: RequestBody::Buffered(Bytes::new()),
+        client_timeout: CLIENT_TIMEOUT,
         deadline: Cell::new(None),
         ended: Cell::new(false),
         client: None,
--- a/balancer/tests/slow_responses_to_uploads.rs
+++ b/balancer/tests/slow_responses_to_uploads.rs
@@ -19,6 +19,9 @@
 
 /// The start of a response at once.
 const START: &[Part] = &[part(5_000, 5_000, 0)];
+/// A byte for each 30 ms, for longer than a play.
+const DRIP: &[Part] = &[part(800, 1, 30)];
+
 /// An upstream that reads the start of a request, responds by `serve`, and hangs.
 fn start_upstream(serve: impl Fn(&mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
     start_threaded_upstream(move |stream| {
@@ -91,6 +94,33 @@
     }
 }
 
+/// Guards against responses without progress that wait for the end of a request which their upstream
+/// does not read: the client has written it, and waits.
+#[test]
+fn ends_a_response_without_progress_to_an_upload_that_is_not_read() {
+    let mut plays: Vec<Play> = Vec::new();
+    for request_framing in FRAMINGS {
+        for framing in UNSTATED_LENGTH {
+            for parts in [START, DRIP] {
+                plays.push(Box::new(move || {
+                    let upstream = start_upstream(move |stream| {
+                        send_slowly(stream, framing, parts);
+                        sleep(HANG_TIME);
+                    });
+                    let received = upload(upstream, request_framing);
+                    let ended_after = received.ended_after;
+                    assert!(
+                        ended_after <= TIME + RESPONSE_GRACE && !received.is_complete,
+                        "{request_framing:?}, {framing:?}, {parts:?}: {:?} ended after {ended_after:?}",
+                        received.head
+                    );
+                }));
+            }
+        }
+    }
+    run_plays(plays);
+}
+
 /// Guards against counting the time of a response that began early from the start of its request:
 /// the client still writes when the response is given, and for longer than it waits.
 #[test]
