Take the outcome of a rejection from its head if its body does not come

What callers saw: 502 at the deadline for a request that must not run twice and whose upstream had rejected it, as the body of the rejection never came; another upstream was ready.

Cause: the body of a response that is not a success was awaited until the attempt timed out, and a timeout does not prove that the request never ran.

Change: such a body is awaited for 0.2 s; then the head's outcome counts and the connection is closed.

--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -8,6 +8,7 @@
 use crate::outbound::message::FinalResponse;
 use crate::outbound::response_buffer::{buffer_body, declares_large_body, BufferedBody};
 use crate::outbound::response_outcome::{has_unambiguous_end, outcome_of_response};
+use crate::outbound::response_progress::ResponseProgress;
 use crate::outbound::response_relay::Relay;
 use crate::outbound::reuse_lease::ReuseLease;
 use crate::time::timeout;
@@ -21,6 +22,10 @@
 /// Time allowed for a connection to become ready for its next request after a complete response.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Time allowed for the body of a response that is not a success. Its head tells the outcome; its body
+/// only decides whether the connection can be reused.
+const UNSUCCESSFUL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A response that has begun: its head, and the connection on which its body follows.
 pub(super) struct StartedResponse {
     pub(super) connection: Connection,
@@ -48,8 +53,9 @@
         }
         let outcome = outcome_of_response(&response);
         let (head, mut body) = response.into_parts();
-        let memory = &self.transport.memory;
-        let buffered = buffer_body(&mut body, declared_length, memory, &self.progress).await?;
+        let buffered = self
+            .buffer_response(&mut body, declared_length, outcome)
+            .await?;
         if lease.is_revoked() {
             return Err(AttemptOutcome::Error);
         }
@@ -74,6 +80,25 @@
         Ok(AttemptResult { outcome, response })
     }
 
+    /// Buffers the body of a response. One that is not a success is never passed on, and is not
+    /// awaited for long.
+    async fn buffer_response(
+        &self,
+        body: &mut Incoming,
+        declared_length: Option<u64>,
+        outcome: AttemptOutcome,
+    ) -> Result<BufferedBody, AttemptOutcome> {
+        let memory = &self.transport.memory;
+        if outcome == AttemptOutcome::Success {
+            return buffer_body(body, declared_length, memory, &self.progress).await;
+        }
+        let unused_progress = ResponseProgress::default();
+        let buffering = buffer_body(body, declared_length, memory, &unused_progress);
+        timeout(UNSUCCESSFUL_BODY_TIMEOUT, buffering)
+            .await
+            .unwrap_or(Ok(BufferedBody::Partial(Bytes::new())))
+    }
+
     /// Passes on the head of a large response, and returns the relay for its body.
     fn start_relay(
         &self,
--- a/balancer/tests/stalled_responses.rs
+++ b/balancer/tests/stalled_responses.rs
@@ -2,6 +2,7 @@
 mod common;
 
 use common::*;
+use std::io::Read;
 use std::time::Duration;
 
 /// How long a response that makes no progress is awaited beyond its request's time, if it is known
@@ -85,3 +86,33 @@
     }
     run_plays(plays);
 }
+
+/// Guards against waiting for the body of a rejection: its head proves that the request has not run,
+/// so another upstream can serve it in time.
+#[test]
+fn retries_a_request_whose_rejection_never_ends() {
+    const REQUESTS: usize = 8;
+    let mut plays: Vec<Play> = Vec::new();
+    for framing in ["Content-Length: 9", "Transfer-Encoding: chunked"] {
+        for body in ["", "4\r\nhalf\r\n"] {
+            plays.push(Box::new(move || {
+                let head = format!("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\n{framing}\r\n\r\n");
+                let rejecting = start_threaded_upstream(move |stream| {
+                    if !read_request(stream).is_empty() {
+                        send_bytes(stream, format!("{head}{body}").as_bytes());
+                        let _ = stream.read(&mut [0]);
+                    }
+                });
+                let serving = StubUpstream::start(|_| ok_response("served"));
+                let upstreams = [rejecting, serving.address];
+                let balancer = BalancerProcess::with_upstreams(&upstreams);
+                for id in 0..REQUESTS {
+                    let mut client = balancer.client();
+                    let response = client.call(&payment_request(&id.to_string(), "1200m"));
+                    assert_eq!(response.status(), 200, "{framing}, {body:?}, request {id}");
+                }
+            }));
+        }
+    }
+    run_plays(plays);
+}
