Pass on a response that has begun at the deadline although it pauses

What callers saw: 502 at the deadline of 0.4 s while the upstream was sending a large response of unstated length in pieces of 25 kB each 0.5 s.

Cause: passes on at the deadline only what is in progress by its pace, and a first pause is not known to be one. Nothing had been passed on by then, though the first bytes were there.

--- a/balancer/src/control/driver.rs
+++ b/balancer/src/control/driver.rs
@@ -65,7 +65,7 @@
     }
 
     /// Fails each request that waits for its response, because the response would not arrive in time. The
-    /// request may have run. A response in progress is passed on.
+    /// request may have run. A response that has begun is passed on.
     pub fn fail_pending(&self) {
         let failed = self.0.state.borrow_mut().fail_pending();
         for id in failed {
--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -26,7 +26,7 @@
     ResponseOverdue,
     /// The upstream has not taken the whole request in time, so it has not run the request.
     UploadOverdue,
-    /// The response is complete or in progress, and is passed on.
+    /// The response is complete or has begun, and is passed on.
     ResponseKept,
     /// The request's body or the response has made progress. The timer is set again.
     Postponed,
--- a/balancer/src/control/driver_state/requests.rs
+++ b/balancer/src/control/driver_state/requests.rs
@@ -76,8 +76,8 @@
         self.latest_deadline = Some(Instant::now() + within);
     }
 
-    /// Fails each request without a final response, unless its response is in progress, which is then
-    /// passed on. Returns the ids of the failed requests.
+    /// Fails each request without a final response, unless its response has begun, which is then passed
+    /// on. Returns the ids of the failed requests.
     pub fn fail_pending(&mut self) -> Vec<RequestId> {
         let attempts = &self.attempts;
         self.pending
--- a/balancer/src/outbound/body_pace.rs
+++ b/balancer/src/outbound/body_pace.rs
@@ -64,6 +64,11 @@
         self.received_at = Some(now);
     }
 
+    /// Whether data has arrived.
+    pub fn has_received(&self) -> bool {
+        self.received_at.is_some()
+    }
+
     /// Whether data has arrived after this time, and at the least rate so far.
     pub fn made_progress_after(&self, time: Instant) -> bool {
         let has_received = self
--- a/balancer/src/outbound/response_progress.rs
+++ b/balancer/src/outbound/response_progress.rs
@@ -77,16 +77,20 @@
     }
 
     /// The time of the request is over. Returns whether the response is passed on nevertheless: one
-    /// that is complete is about to be, and one that is in progress is from now on.
+    /// that is complete is about to be, and one that may be incomplete is from now on if its body has
+    /// begun. Whether it is in progress shows later.
     pub fn pass_on(&self) -> bool {
-        if self.is_complete() {
-            return true;
+        match self.stage.get() {
+            ResponseStage::Awaited => false,
+            ResponseStage::Begun => {
+                let has_received = self.pace.borrow().has_received();
+                if has_received {
+                    self.relay_requested.notify_one();
+                }
+                has_received
+            }
+            ResponseStage::Complete => true,
         }
-        let is_relayable = self.relayable_until(Instant::now()).is_some();
-        if is_relayable {
-            self.relay_requested.notify_one();
-        }
-        is_relayable
     }
 
     /// Waits until the response is to be passed on, because the time of its request is over.
--- a/balancer/tests/slow_responses.rs
+++ b/balancer/tests/slow_responses.rs
@@ -55,6 +55,13 @@
     relay_at_paces(&PACES, SHORT_TIME);
 }
 
+/// Guards against giving up a response that has begun and pauses at its request's deadline, so that
+/// nothing of it is passed on in time.
+#[test]
+fn begins_to_relay_a_response_that_pauses_at_the_deadline() {
+    relay_at_paces(&[LARGE_PIECES], Duration::from_millis(400));
+}
+
 /// Guards against ending a response that pauses when the time of its request is over, before the
 /// client is owed the end.
 #[test]
