Resolve a timeout within a millisecond of the expiry as one at the expiry

Cause: the core chooses timeouts in floating-point milliseconds, so that one at the expiry may fire some microseconds before it. A response that has begun and pauses would then be given up as at an early timeout, in place of being passed on.

--- a/balancer/src/control/driver_state/attempt_lifecycle.rs
+++ b/balancer/src/control/driver_state/attempt_lifecycle.rs
@@ -11,7 +11,6 @@
 use crate::outbound::message::FinalResponse;
 use balancer_core::{AttemptOutcome, Event, Millis, RequestId, UpstreamId};
 use std::rc::Rc;
-#[cfg(test)]
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -19,6 +18,10 @@
 /// The timeout of an attempt that has no limit besides the client's timeout.
 const NO_LIMIT_MS: Millis = 0.0;
 
+/// A timeout that fires this long before its request expires, or later, is one at the expiry: the
+/// core, which chose it, rounds times.
+const EXPIRY_TOLERANCE: Duration = Duration::from_millis(1);
+
 /// What the timeout of an attempt means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TimeoutResolution {
@@ -137,7 +140,7 @@
         let Some(pending) = self.pending.get(id.request) else {
             return TimeoutResolution::ResponseOverdue;
         };
-        if pending.expires_at() <= now {
+        if pending.expires_at() <= now + EXPIRY_TOLERANCE {
             return self.resolve_expiry(id, pending.is_body_complete());
         }
         let Some(next_check_at) = self.next_timeout_check(id, pending, now) else {
--- a/balancer/src/outbound/body_pace.rs
+++ b/balancer/src/outbound/body_pace.rs
@@ -24,7 +24,7 @@
     /// The longest single wait since the first byte.
     longest_pause: Duration,
     /// How long the upstream may still be awaited until the body has stalled. Waiting uses it up,
-    /// and data restores the time that they take at the least rate, up to [`BODY_STALL_TIMEOUT`].
+    /// and data restores the time that it takes at the least rate, up to [`BODY_STALL_TIMEOUT`].
     stall_budget: Duration,
 }
 
@@ -53,7 +53,7 @@
             .waiting_since
             .take()
             .map_or(Duration::ZERO, |since| now - since);
-        if self.received_bytes > 0 {
+        if self.has_received() {
             self.waited += wait;
             self.longest_pause = self.longest_pause.max(wait);
         }
@@ -66,25 +66,23 @@
 
     /// Whether data has arrived.
     pub fn has_received(&self) -> bool {
-        self.received_at.is_some()
+        self.received_bytes > 0
     }
 
     /// Whether data has arrived after this time, and at the least rate so far.
     pub fn made_progress_after(&self, time: Instant) -> bool {
-        let has_received = self
+        let is_after = self
             .received_at
             .is_some_and(|received_at| received_at > time);
-        has_received && !self.remaining_wait().is_zero()
+        is_after && !self.remaining_wait().is_zero()
     }
 
     /// Until when the body counts as in progress if nothing more arrives; `None` if nothing has
     /// arrived yet.
     pub fn in_progress_until(&self, now: Instant) -> Option<Instant> {
-        if self.received_bytes == 0 {
-            return None;
-        }
         let since = self.waiting_since.unwrap_or(now);
-        Some(since + self.allowed_pause().min(self.remaining_wait()))
+        let until = since + self.allowed_pause().min(self.remaining_wait());
+        self.has_received().then_some(until)
     }
 
     /// When the body has stalled, by a pause or by a rate below the least one, if nothing more arrives.
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -130,7 +130,7 @@
     }
 }
 
-/// Waits until a body is to be relayed: at `relay_at`, or when the time of its attempt is over.
+/// Waits until a body is to be relayed: at `relay_at`, or when the time of its request is over.
 async fn relay_due(progress: &ResponseProgress, relay_at: Option<Instant>) {
     let Some(relay_at) = relay_at else {
         return progress.relay_requested().await;
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -27,8 +27,8 @@
 ///
 /// A body that may be a small one has to be complete by its request's deadline, or in progress: the
 /// client is owed a final response, also where the upstream never sends the end of its own. A body
-/// that is known to be large is in time once its first bytes are. It ends when it has stalled: after a pause
-/// of [`BODY_STALL_TIMEOUT`], or once it has been below the least rate for too long.
+/// that is known to be large is in time once its first bytes are. It ends when it has stalled: after
+/// a pause of [`BODY_STALL_TIMEOUT`], or once it has been below the least rate for too long.
 pub struct Relay {
     sender: UpstreamBodySender,
     body: Incoming,
--- a/balancer/tests/slow_responses_at_exit.rs
+++ b/balancer/tests/slow_responses_at_exit.rs
@@ -1,4 +1,5 @@
-//! Responses that upstreams give slowly while their balancer ends: each is relayed to its end.
+//! Responses that upstreams give slowly while their balancer ends or is paused: each is relayed to its
+//! end.
 mod common;
 
 use common::*;
@@ -49,6 +50,28 @@
     play_each_ending(Duration::ZERO, Duration::from_millis(1200));
 }
 
+/// Guards against taking a connection whose response is slow for one that a pause may close.
+#[test]
+fn relays_a_slow_response_while_the_balancer_is_paused() {
+    let time = Duration::from_millis(1200);
+    let mut plays: Vec<Play> = Vec::new();
+    for framing in RESPONSE_FRAMINGS {
+        plays.push(Box::new(move || {
+            let upstream = start_slow_upstream(framing, STEADY, Duration::ZERO);
+            let balancer = BalancerProcess::with_admin(&[upstream]);
+            let client = connect(balancer.address);
+            let call = thread::spawn(move || call_and_measure(client, time));
+            sleep(Duration::from_millis(100));
+            assert!(balancer.call_admin(b"PAUSE\n").starts_with("YES"));
+            let Ok(received) = call.join() else {
+                panic!("{framing:?}: no response");
+            };
+            received.expect_complete(time, &format!("{framing:?}"));
+        }));
+    }
+    run_plays(plays);
+}
+
 /// Guards against failing a request whose response has begun, but is still buffered, when a shutdown
 /// fails the requests that are pending.
 #[test]
