Relay responses of unstated length 0.15 s before their request expires

What callers saw: on a busy machine the first bytes of a large response that was passed on at the deadline came 3 to 10 ms after the client's time.

Cause: at the deadline 5 ms are left, as for answers that are made then. A process may be held up for 0.15 s.

Change: a body of unstated length is relayed 0.15 s before its request expires, or after half of the time that is left if that is less, also where its first bytes wait for memory. At the deadline only what began later is passed on.

--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -89,11 +89,12 @@
         outcome: AttemptOutcome,
     ) -> Result<BufferedBody, AttemptOutcome> {
         let memory = &self.transport.memory;
+        let expires_at = self.request.expires_at();
         if outcome == AttemptOutcome::Success {
-            return buffer_body(body, declared_length, memory, &self.progress).await;
+            return buffer_body(body, declared_length, memory, &self.progress, expires_at).await;
         }
         let unused_progress = ResponseProgress::default();
-        let buffering = buffer_body(body, declared_length, memory, &unused_progress);
+        let buffering = buffer_body(body, declared_length, memory, &unused_progress, expires_at);
         timeout(UNSUCCESSFUL_BODY_TIMEOUT, buffering)
             .await
             .unwrap_or(Ok(BufferedBody::Partial(Bytes::new())))
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -15,6 +15,10 @@
 /// How long a body of undeclared length is buffered before it is relayed like a large one.
 const UNDECLARED_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
 
+/// How long before its request expires a body of undeclared length is relayed, so that its first
+/// bytes are in time although the process may be held up.
+const FIRST_BYTES_MARGIN: Duration = Duration::from_millis(150);
+
 /// What was read of a response body before the response was passed on.
 pub enum BufferedBody {
     /// The complete body.
@@ -27,33 +31,53 @@
 /// Buffers a body as long as it may be a small one and memory is left. Nothing is read of a body that
 /// declares a large length. A body that declares a small length waits for memory and is read to its
 /// end, which only the attempt's timeout limits. One of undeclared length waits for memory with its
-/// first bytes, until the time of its request is over. Records in `progress` what arrives.
+/// first bytes, until the time of its request is over. Records in `progress` what arrives. The request
+/// expires at `expires_at`.
 pub async fn buffer_body(
     body: &mut Incoming,
     declared_length: Option<u64>,
     memory: &MemoryBudget,
     progress: &ResponseProgress,
+    expires_at: Instant,
 ) -> Result<BufferedBody, AttemptOutcome> {
     if declares_large_body(declared_length) {
         return Ok(BufferedBody::Partial(Bytes::new()));
     }
+    let relay_times = match declared_length {
+        Some(_) => None,
+        None => {
+            progress.record_begin();
+            Some(RelayTimes::new(Instant::now(), expires_at))
+        }
+    };
     let buffering = Buffering {
         body,
         buffer: BodyBuffer::new(declared_length, memory),
-        relay_at: relay_time(declared_length),
+        relay_times,
         progress,
     };
-    if declared_length.is_none() {
-        progress.record_begin();
-    }
     buffering.run().await
 }
 
-/// When a body is relayed at the latest; `None` if it must be complete before.
-fn relay_time(declared_length: Option<u64>) -> Option<Instant> {
-    match declared_length {
-        Some(_) => None,
-        None => Some(Instant::now() + UNDECLARED_LENGTH_BUFFER_TIME),
+/// When a body of undeclared length is relayed.
+#[derive(Clone, Copy, Debug)]
+struct RelayTimes {
+    /// After being buffered.
+    buffered: Instant,
+    /// At the latest, also where it waits for memory.
+    latest: Instant,
+}
+
+impl RelayTimes {
+    /// The times of a body that begins now.
+    fn new(now: Instant, expires_at: Instant) -> RelayTimes {
+        let remaining = expires_at.saturating_duration_since(now);
+        let margin = FIRST_BYTES_MARGIN.min(remaining / 2);
+        let latest = now + (remaining - margin);
+        RelayTimes {
+            buffered: latest.min(now + UNDECLARED_LENGTH_BUFFER_TIME),
+            latest,
+        }
     }
 }
 
@@ -61,8 +85,8 @@
 struct Buffering<'a> {
     body: &'a mut Incoming,
     buffer: BodyBuffer,
-    /// When it is relayed at the latest; `None` if it must be complete before.
-    relay_at: Option<Instant>,
+    /// When it is relayed; `None` if it must be complete before.
+    relay_times: Option<RelayTimes>,
     progress: &'a ResponseProgress,
 }
 
@@ -76,7 +100,7 @@
 
 impl Buffering<'_> {
     async fn run(mut self) -> Result<BufferedBody, AttemptOutcome> {
-        if self.relay_at.is_none() {
+        if self.relay_times.is_none() {
             self.buffer.allocate_when_possible().await;
         }
         while self.buffer.len() <= MAX_BUFFERED_BODY_BYTES {
@@ -106,17 +130,21 @@
         if self.buffer.len() > 0 {
             return self.buffer.append(data);
         }
+        let latest_relay_at = self.relay_times.map(|times| times.latest);
         tokio::select! {
             biased;
             () = self.buffer.append_when_possible(data) => Ok(()),
-            () = self.progress.relay_requested() => Err(MemoryExhausted),
+            () = relay_due(self.progress, latest_relay_at) => Err(MemoryExhausted),
         }
     }
 
     async fn next_event(&mut self) -> Result<BufferEvent, AttemptOutcome> {
         self.progress.begin_wait();
         // Before the first byte there is nothing to relay.
-        let relay_at = self.relay_at.filter(|_| self.buffer.len() > 0);
+        let relay_at = self
+            .relay_times
+            .filter(|_| self.buffer.len() > 0)
+            .map(|times| times.buffered);
         let frame = tokio::select! {
             biased;
             frame = self.body.frame() => frame,
@@ -145,3 +173,6 @@
 pub fn declares_large_body(declared_length: Option<u64>) -> bool {
     declared_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64)
 }
+
+#[cfg(test)]
+mod tests;
