--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -63,9 +63,10 @@
     /// Carries out one attempt, which writes its request at most once. Dropping the future closes
     /// the connection.
     ///
-    /// Records in `progress` what has arrived of the response. Calls `on_connected` each time the attempt has got a connection. Passes a large response to
-    /// `on_response_started` once its head has arrived; the attempt then lasts until the end of
-    /// that response's body.
+    /// Records in `progress` what has arrived of the response. Calls `on_connected` each time the
+    /// attempt has got a connection. Passes a large or slow response to `on_response_started` once its
+    /// head and, where its length is unstated, the first bytes of its body have arrived; the attempt
+    /// then lasts until the end of that body.
     pub async fn attempt(
         &self,
         upstream: Rc<Upstream>,
