--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -87,8 +87,8 @@
             Ok(started) => started,
             Err(error) => return error.into(),
         };
-        attempt
-            .receive_response(started, on_response_started)
+        // Boxed, so that attempts take no memory for it before there is a response.
+        Box::pin(attempt.receive_response(started, on_response_started))
             .await
             .unwrap_or_else(AttemptResult::from)
     }
