Count allocated memory, report it, and return free memory to the system

What callers saw: a balancer was killed for memory, and neither its log nor its metrics said anything about memory.

Cause: the budget covered buffered bodies alone, and guessed 28 KiB for each open connection; nothing else was counted.

Change: the global allocator counts what is allocated, whatever it is for (crate cap). The budget compares that with the limit, in three steps: bulk, new requests, completion of accepted ones. A reservation covers memory that is promised and not allocated yet. While more than half is in use, free memory is returned ten times a second (malloc_trim). METRICS shows node_memory_*, node_connections_open; the log tells when a shortage begins and ends.

Waits for memory share one loop now.

--- a/balancer/src/admin/server.rs
+++ b/balancer/src/admin/server.rs
@@ -3,6 +3,7 @@
 use crate::admin::override_sync::OverrideSync;
 use crate::admin::response::{to_wire, AdminError, AdminResponse};
 use crate::control::driver::DriverHandle;
+use crate::memory::budget::MemoryBudget;
 use crate::net::listener::{register_accepted, Listener};
 use crate::net::socket_io::Socket;
 use crate::phase::Phase;
@@ -37,6 +38,8 @@
     pub driver: DriverHandle,
     /// The metrics of this process.
     pub metrics: Rc<Metrics>,
+    /// The memory of this process.
+    pub memory: MemoryBudget,
     /// The phase of this process.
     pub phase: watch::Receiver<Phase>,
     /// Stores and applies overrides.
@@ -49,6 +52,7 @@
 pub struct AdminServer {
     driver: DriverHandle,
     metrics: Rc<Metrics>,
+    memory: MemoryBudget,
     phase: watch::Receiver<Phase>,
     overrides: Rc<OverrideSync>,
     slow_start_duration: Millis,
@@ -60,6 +64,7 @@
         Rc::new(AdminServer {
             driver: options.driver,
             metrics: options.metrics,
+            memory: options.memory,
             phase: options.phase,
             overrides: options.overrides,
             slow_start_duration: options.slow_start_duration,
@@ -150,7 +155,8 @@
 
     fn metrics(&self) -> AdminResponse {
         let gauges = self.driver.gauges();
-        AdminResponse::Metrics(self.metrics.render(&gauges))
+        let memory = self.memory.report();
+        AdminResponse::Metrics(self.metrics.render(&gauges, &memory))
     }
 
     async fn pause(&self) -> Result<AdminResponse, AdminError> {
--- a/balancer/src/body/body_buffer.rs
+++ b/balancer/src/body/body_buffer.rs
@@ -5,17 +5,15 @@
 //! keeps that buffer allocated, several kilobytes for as little as one byte. So bytes that are kept
 //! are copied into memory of their own size.
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
-use crate::net::memory_budget::{MemoryBudget, MemoryExhausted, Reservation};
-use crate::time::sleep;
+use crate::memory::budget::{MemoryBudget, MemoryExhausted, MemoryUse};
 use bytes::Bytes;
-use std::time::Duration;
 
 /// Most bytes of one chunk that [`BodyBuffer::chunk_at`] copies out.
 const MAX_COPIED_CHUNK_BYTES: usize = 16 << 10;
 /// Memory for the first bytes of a body of unstated length, most of which are short.
 const UNSTATED_LENGTH_CAPACITY: usize = 4 << 10;
-/// Interval between two checks whether there is memory again.
-const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Bodies up to this size are of ordinary size for the memory budget.
+const MAX_ORDINARY_BODY_BYTES: usize = 4 << 10;
 
 /// A copy of a chunk that is to be kept.
 pub fn copy_of(chunk: &[u8]) -> Bytes {
@@ -28,29 +26,31 @@
     /// How much the buffer allocates for its first bytes.
     first_capacity: usize,
     memory: MemoryBudget,
-    reservation: Reservation,
+    /// What the buffer counts as while it is of ordinary size.
+    ordinary_use: MemoryUse,
 }
 
-/// The bytes of a complete buffer, whose memory stays reserved while they live.
-struct ReservedBytes {
-    bytes: Box<[u8]>,
-    _reservation: Reservation,
-}
+impl BodyBuffer {
+    /// An empty buffer for the body of a request of `stated_length` bytes, in memory of `memory`.
+    /// Allocates nothing yet: the sender may state a length and send nothing.
+    pub fn for_request(stated_length: Option<u64>, memory: &MemoryBudget) -> BodyBuffer {
+        BodyBuffer::new(stated_length, memory, MemoryUse::Admission)
+    }
 
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+    /// The same for the body of a response.
+    pub fn for_response(stated_length: Option<u64>, memory: &MemoryBudget) -> BodyBuffer {
+        BodyBuffer::new(stated_length, memory, MemoryUse::Completion)
     }
-}
 
-impl BodyBuffer {
-    /// An empty buffer for a body of `stated_length` bytes, in memory of `memory`. Allocates nothing
-    /// yet: the sender may state a length and send nothing.
-    pub fn new(stated_length: Option<u64>, memory: &MemoryBudget) -> BodyBuffer {
+    fn new(
+        stated_length: Option<u64>,
+        memory: &MemoryBudget,
+        ordinary_use: MemoryUse,
+    ) -> BodyBuffer {
         BodyBuffer {
             bytes: Vec::new(),
             memory: memory.clone(),
-            reservation: memory.reservation(),
+            ordinary_use,
             first_capacity: stated_length.map_or(UNSTATED_LENGTH_CAPACITY, first_capacity),
         }
     }
@@ -62,7 +62,9 @@
 
     /// Appends a copy of `chunk`. Appends nothing if there is too little memory.
     pub fn append(&mut self, chunk: &[u8]) -> Result<(), MemoryExhausted> {
-        self.reserve(chunk.len())?;
+        let growth = self.growth(chunk.len());
+        self.memory.check(self.memory_use(growth), growth)?;
+        self.allocate(chunk.len());
         self.bytes.extend_from_slice(chunk);
         Ok(())
     }
@@ -70,16 +72,15 @@
     /// Waits until there is memory for all of a small body of stated length, and allocates it. The
     /// caller limits the time.
     pub async fn allocate_when_possible(&mut self) {
-        while self.reserve(self.first_capacity).is_err() {
-            sleep(MEMORY_CHECK_INTERVAL).await;
-        }
+        self.wait_for_memory(self.first_capacity).await;
+        self.allocate(self.first_capacity);
     }
 
     /// Waits until there is memory for `chunk`, and appends a copy of it. The caller limits the time.
     pub async fn append_when_possible(&mut self, chunk: &[u8]) {
-        while self.append(chunk).is_err() {
-            sleep(MEMORY_CHECK_INTERVAL).await;
-        }
+        self.wait_for_memory(chunk.len()).await;
+        self.allocate(chunk.len());
+        self.bytes.extend_from_slice(chunk);
     }
 
     /// Appends a copy of the last `chunk` of this buffer, for which no memory could be reserved.
@@ -97,26 +98,39 @@
 
     /// The bytes, without unused memory.
     pub fn into_bytes(self) -> Bytes {
-        if self.bytes.is_empty() {
-            return Bytes::new();
-        }
-        Bytes::from_owner(ReservedBytes {
-            bytes: self.bytes.into_boxed_slice(),
-            _reservation: self.reservation,
-        })
+        Bytes::from(self.bytes.into_boxed_slice())
+    }
+
+    /// Waits until there is memory for `additional` bytes.
+    async fn wait_for_memory(&self, additional: usize) {
+        let growth = self.growth(additional);
+        self.memory
+            .wait_until(|memory| memory.has_room(self.memory_use(growth), growth))
+            .await;
     }
 
     /// Allocates memory for `additional` bytes where they do not fit.
-    fn reserve(&mut self, additional: usize) -> Result<(), MemoryExhausted> {
+    fn allocate(&mut self, additional: usize) {
+        let capacity = self.bytes.capacity() + self.growth(additional);
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+    }
+
+    /// What a growth by so many bytes counts as.
+    fn memory_use(&self, growth: usize) -> MemoryUse {
+        if growth <= MAX_ORDINARY_BODY_BYTES {
+            self.ordinary_use
+        } else {
+            MemoryUse::Bulk
+        }
+    }
+
+    /// How much has to be allocated for `additional` bytes.
+    fn growth(&self, additional: usize) -> usize {
         let required = self.bytes.len() + additional;
         if required <= self.bytes.capacity() {
-            return Ok(());
+            return 0;
         }
-        let capacity = self.next_capacity().max(required);
-        let growth = capacity - self.bytes.capacity();
-        self.reservation.grow(&self.memory, growth)?;
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        Ok(())
+        self.next_capacity().max(required) - self.bytes.capacity()
     }
 
     /// The next of few sizes: memory that is allocated again and again leaves gaps.
--- a/balancer/src/inbound/context.rs
+++ b/balancer/src/inbound/context.rs
@@ -3,8 +3,8 @@
 use crate::inbound::idle_connections::IdleConnections;
 use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
+use crate::memory::budget::MemoryBudget;
 use crate::net::descriptor_budget::DescriptorBudget;
-use crate::net::memory_budget::MemoryBudget;
 use crate::phase::Phase;
 use crate::telemetry::metrics::Metrics;
 use balancer_settings::Deployment;
@@ -20,7 +20,7 @@
     pub deployment: Deployment,
     /// Limits the number of connections.
     pub descriptors: DescriptorBudget,
-    /// Limits the memory of buffered bodies.
+    /// Limits the memory of the process.
     pub memory: MemoryBudget,
     /// Counts requests and connections.
     pub metrics: Rc<Metrics>,
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -16,7 +16,7 @@
 use crate::inbound::responses::{
     client_response, empty_response, input_error_response, rejection, ClientResponse,
 };
-use crate::net::memory_budget::{MemoryBudget, MemoryExhausted};
+use crate::memory::budget::{MemoryBudget, MemoryExhausted};
 use crate::net::peer::Peer;
 use crate::outbound::headers::{remove_hop_by_hop_headers, DEADLINE_HEADER};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
@@ -306,7 +306,7 @@
 ) -> Result<RequestBody, RequestError> {
     let stated_length = body.remaining_length();
     let mut is_large = stated_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
-    let mut buffered = BodyBuffer::new(stated_length, memory);
+    let mut buffered = BodyBuffer::for_request(stated_length, memory);
     while !is_large {
         let Some(chunk) = body.next().await else {
             return Ok(RequestBody::Buffered(buffered.into_bytes()));
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -40,6 +40,7 @@
 mod harmless_panic;
 mod inbound;
 mod invariants;
+mod memory;
 mod net;
 mod outbound;
 mod phase;
--- a/balancer/src/net/mod.rs
+++ b/balancer/src/net/mod.rs
@@ -3,7 +3,6 @@
 pub(crate) mod descriptor_budget;
 mod input_activity;
 pub(crate) mod listener;
-pub(crate) mod memory_budget;
 pub(crate) mod peer;
 mod received_bytes;
 pub(crate) mod retry_io;
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one upstream once, and receives its response.
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::invariants::{Guard, WriteConditions};
-use crate::net::memory_budget::MemoryBudget;
+use crate::memory::budget::MemoryBudget;
 use crate::net::shared_stream::{SharedStream, WriteProgress};
 use crate::outbound::attempt::reception::StartedResponse;
 use crate::outbound::attempt_result::{AttemptResult, SendRequestError};
--- a/balancer/src/outbound/attempt/tests.rs
+++ b/balancer/src/outbound/attempt/tests.rs
@@ -1,8 +1,8 @@
 //! Attempts over real sockets: which connection carries them, and which outcome they have.
 use super::*;
 use crate::body::request_body::RequestBody;
+use crate::memory::budget::MemoryBudget;
 use crate::net::descriptor_budget::DescriptorBudget;
-use crate::net::memory_budget::MemoryBudget;
 use crate::outbound::connection_pool::{Connection, PooledConnection};
 use crate::outbound::surplus_history::SurplusCause;
 use crate::outbound::surplus_reporter::SurplusRecipient;
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -1,7 +1,7 @@
 //! Buffers the bodies of small responses, so that nothing is passed on of one that fails.
 use crate::body::body_buffer::BodyBuffer;
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
-use crate::net::memory_budget::{MemoryBudget, MemoryExhausted};
+use crate::memory::budget::{MemoryBudget, MemoryExhausted};
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::outbound::response_progress::ResponseProgress;
 use crate::time::sleep_until;
@@ -52,7 +52,7 @@
     };
     let buffering = Buffering {
         body,
-        buffer: BodyBuffer::new(declared_length, memory),
+        buffer: BodyBuffer::for_response(declared_length, memory),
         relay_times,
         progress,
     };
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -13,9 +13,9 @@
 use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::inbound::server::{Server, ServerOptions};
 use crate::invariants::Guard;
+use crate::memory::budget::MemoryBudget;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::listener::Listener;
-use crate::net::memory_budget::MemoryBudget;
 use crate::net::retry_io::retry_io;
 use crate::outbound::attempt::Transport;
 use crate::outbound::connector::Connector;
@@ -155,6 +155,7 @@
         } = start_control_plane(&config, clock, cached_snapshot, addresses, &context)?;
         let reloads = reload_on_signal(reload, discovery_address, context.metrics.clone());
         tokio::task::spawn_local(reloads);
+        tokio::task::spawn_local(context.memory.clone().run());
         tokio::task::spawn_local(endpoint_watch.run(driver.clone()));
         let coordinator = start_admin(&config, admin_listener, &driver, &context)?;
         if let Some(coordinator) = &coordinator {
@@ -284,6 +285,7 @@
     let admin = AdminServer::new(AdminOptions {
         driver: driver.clone(),
         metrics: context.metrics.clone(),
+        memory: context.memory.clone(),
         phase: context.phase.subscribe(),
         overrides: overrides.clone(),
         slow_start_duration: config.deployment.core.slow_start_duration,
--- a/balancer/src/telemetry/metrics.rs
+++ b/balancer/src/telemetry/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics that operators fetch. Counts begin at zero when the process starts. A request is
 //! counted once, when its outcome is final.
+use crate::memory::report::{MemoryRefusal, MemoryReport};
 use crate::telemetry::guard_counts::GuardCounts;
 use crate::telemetry::upstream_counts::UpstreamCounts;
 use balancer_core::EndpointCounts;
@@ -50,16 +51,19 @@
     Evicted,
     /// The process shuts down, or operators have paused the balancer.
     Shutdown,
+    /// Too little memory was left for the request that was being read, which was rejected.
+    MemoryShort,
 }
 
 impl CloseReason {
     /// All reasons, in the order of their counts.
-    const ALL: [CloseReason; 5] = [
+    const ALL: [CloseReason; 6] = [
         CloseReason::Finished,
         CloseReason::Malformed,
         CloseReason::TimedOut,
         CloseReason::Evicted,
         CloseReason::Shutdown,
+        CloseReason::MemoryShort,
     ];
 
     /// Its name in metrics and logs. Dashboards refer to these names, so they stay.
@@ -70,6 +74,7 @@
             CloseReason::TimedOut => "overdue",
             CloseReason::Evicted => "makes_way",
             CloseReason::Shutdown => "shutdown",
+            CloseReason::MemoryShort => "memory",
         }
     }
 }
@@ -158,8 +163,8 @@
         });
     }
 
-    /// The metrics as operators read them, with the current gauges.
-    pub fn render(&self, gauges: &Gauges) -> String {
+    /// The metrics as operators read them, with the current gauges and the state of the memory.
+    pub fn render(&self, gauges: &Gauges, memory: &MemoryReport) -> String {
         let mut text = String::new();
         for outcome in RequestOutcome::ALL {
             for class in &self.classes {
@@ -194,6 +199,7 @@
             let count = &self.connections_closed[reason as usize];
             write_metric(&mut text, &name, count.get());
         }
+        render_memory(&mut text, memory);
         text
     }
 
@@ -237,6 +243,20 @@
     }
 }
 
+fn render_memory(text: &mut String, memory: &MemoryReport) {
+    let limit = memory.limit_bytes.unwrap_or(0);
+    write_metric(text, "memory_limit_bytes", limit as u64);
+    let allocated = memory.allocated_bytes;
+    write_metric(text, "memory_allocated_bytes", allocated as u64);
+    write_metric(text, "connections_open", memory.open_connections as u64);
+    write_metric(text, "memory_shortages", memory.shortages);
+    write_metric(text, "memory_waits", memory.waits);
+    for refusal in MemoryRefusal::ALL {
+        let name = labelled("memory_refused", "what", refusal.name());
+        write_metric(text, &name, memory.refused[refusal as usize]);
+    }
+}
+
 fn increment(count: &Cell<u64>) {
     count.set(count.get().wrapping_add(1));
 }
--- a/balancer/src/telemetry/metrics/tests.rs
+++ b/balancer/src/telemetry/metrics/tests.rs
@@ -10,7 +10,7 @@
     single_use_upstreams: 3,
 };
 
-const EXPECTED: [&str; 31] = [
+const EXPECTED: [&str; 41] = [
     "node_ok{kind=\"read\"} 0",
     "node_ok{kind=\"odd \\\"\\\\\\n\"} 0",
     "node_shed{kind=\"read\"} 0",
@@ -42,8 +42,27 @@
     "node_connections_closed{reason=\"overdue\"} 1",
     "node_connections_closed{reason=\"makes_way\"} 0",
     "node_connections_closed{reason=\"shutdown\"} 0",
+    "node_connections_closed{reason=\"memory\"} 0",
+    "node_memory_limit_bytes 33554432",
+    "node_memory_allocated_bytes 5000",
+    "node_connections_open 6",
+    "node_memory_shortages 1",
+    "node_memory_waits 2",
+    "node_memory_refused{what=\"head\"} 3",
+    "node_memory_refused{what=\"body\"} 4",
+    "node_memory_refused{what=\"attempt\"} 5",
+    "node_memory_refused{what=\"body_copy\"} 6",
 ];
 
+const MEMORY: MemoryReport = MemoryReport {
+    limit_bytes: Some(32 << 20),
+    allocated_bytes: 5000,
+    open_connections: 6,
+    shortages: 1,
+    waits: 2,
+    refused: [3, 4, 5, 6],
+};
+
 #[test]
 fn counts_each_request_once_with_its_last_outcome() {
     let metrics = Metrics::new(&["read".into(), "odd \"\\\n".into()]);
@@ -52,7 +71,7 @@
     answered.set_outcome(RequestOutcome::Served);
     assert!(
         metrics
-            .render(&GAUGES)
+            .render(&GAUGES, &MEMORY)
             .contains("node_ok{kind=\"read\"} 0\n"),
         "a request is not counted before its end"
     );
@@ -67,7 +86,7 @@
     metrics.record_reload(false);
     metrics.record_connection_closed(CloseReason::TimedOut);
     assert_eq!(
-        metrics.render(&GAUGES).lines().collect::<Vec<_>>(),
+        metrics.render(&GAUGES, &MEMORY).lines().collect::<Vec<_>>(),
         EXPECTED
     );
 }
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use common::*;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc;
 use std::sync::Mutex;
@@ -48,6 +48,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Sizes of the pieces that are written.
 const PIECE_SIZES: [usize; 3] = [64, 320, 1400];
+/// Size of the pieces of a body that is to be accepted or rejected.
+const ACCEPTED_PIECE_BYTES: usize = 16 << 10;
+/// Time in which requests are rejected for which no memory is left.
+const REJECTION_TIME: Duration = Duration::from_millis(500);
 /// Longer than a play.
 const HANG_TIME: Duration = Duration::from_secs(25);
 
@@ -218,3 +222,41 @@
         }
     }
 }
+
+/// How many of so many clients have a request with a body that is buffered completely accepted, while
+/// all of them wait for their upstream.
+fn count_accepted(balancer: &BalancerProcess, clients: usize) -> usize {
+    let body = WireBody::new(Framing::Length, SMALL_BODY_BYTES, SMALL_BODY_BYTES);
+    let mut clients = connect_uploading_clients(balancer, clients, &body);
+    write_in_pieces(&mut clients, &body.bytes, ACCEPTED_PIECE_BYTES);
+    sleep(REJECTION_TIME);
+    let is_waiting = |client: &mut TcpStream| {
+        let read = client.read(&mut [0; 64]);
+        read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    };
+    clients
+        .iter_mut()
+        .filter_map(|client| is_waiting(client).then_some(()))
+        .count()
+}
+
+/// Guards against memory that is returned while bodies are still in use, or never.
+#[test]
+fn memory_of_bodies_is_in_use_until_their_requests_end() {
+    let limits = TIGHTEST_LIMITS;
+    let upstream = start_threaded_upstream(|stream| {
+        read_head(stream);
+        sleep(HANG_TIME);
+    });
+    let balancer = start_balancer(limits, upstream);
+    let accepted = count_accepted(&balancer, limits.clients());
+    assert!(accepted > 0, "no request is accepted");
+    assert!(accepted < limits.clients(), "all requests are accepted");
+    // The clients have disconnected, and the balancer notices it.
+    balancer.wait_for_descriptors(|count| count < limits.clients(), "connections stay open");
+    let accepted_again = count_accepted(&balancer, limits.clients());
+    assert!(
+        accepted_again + accepted / 10 >= accepted,
+        "{accepted_again} after {accepted}"
+    );
+}
