Keep heads in memory of their own size, and within the memory budget

What callers saw: hundreds of clients that sent heads slowly, large heads or very many short fields took a process over its limit, and the platform killed it with what it had taken.

Cause: a head was in no budget. While incomplete it was kept twice, by hyper and by TrackedStream. Afterwards its header map (about 200 bytes a field, 21 kB for 94 fields), the buffer that it was read into and a copy of the map for the attempt lived as long as the request. Heads of responses the same.

Change: the head is scanned while it arrives, and only the start of a line is kept. What waits is a copy of its own size (CompactHeaders, request id, path). Before a head is parsed the budget is asked: a large one (over 4 KiB or 32 lines) counts as bulk; if nothing is left the client gets 503 with Retry-After and Connection: close at once. Attempts reserve the memory for their connection and head, and responses with a large head wait for it until their deadline. While memory for ordinary requests is short, idle connections are closed.

--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -1,4 +1,5 @@
 //! Response bodies: complete ones, and large ones that are relayed from an upstream to a client.
+use crate::memory::budget::Reservation;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use crate::time::timeout_at;
 use bytes::Bytes;
@@ -117,6 +118,8 @@
 pub struct ClientResponseBody<G> {
     content: ClientBodyContent,
     guard: Option<G>,
+    /// Memory of the response's head, until hyper has encoded it.
+    head_memory: Option<Reservation>,
 }
 
 enum ClientBodyContent {
@@ -132,6 +135,7 @@
         ClientResponseBody {
             content: ClientBodyContent::Buffered(Full::new(body)),
             guard: None,
+            head_memory: None,
         }
     }
 
@@ -140,9 +144,16 @@
         ClientResponseBody {
             content: ClientBodyContent::Streamed(StreamedClientBody { stream, request }),
             guard: None,
+            head_memory: None,
         }
     }
 
+    /// Holds the memory for the response's head until hyper has encoded it, which it does before it
+    /// polls the body.
+    pub fn hold_memory_for_head(&mut self, memory: Option<Reservation>) {
+        self.head_memory = memory;
+    }
+
     /// Holds `guard` until the body is dropped.
     pub fn hold(&mut self, guard: G) {
         self.guard = Some(guard);
@@ -184,7 +195,9 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
-        match &mut self.get_mut().content {
+        let body = self.get_mut();
+        body.head_memory = None;
+        match &mut body.content {
             ClientBodyContent::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
--- a/balancer/src/hollow.rs
+++ b/balancer/src/hollow.rs
@@ -9,13 +9,14 @@
 use crate::discovery::consumer::{CallFailure, EndpointConsumer};
 use crate::discovery::endpoints::EndpointUpdate;
 use crate::invariants::Guard;
+use crate::outbound::compact_headers::CompactHeaders;
 use crate::outbound::dispatch::Dispatch;
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::telemetry::log::LogOutput;
 use crate::telemetry::metrics::Metrics;
 use balancer_settings::Deployment;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Uri};
+use hyper::{Method, Uri};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -182,7 +183,7 @@
         request_id: None,
         method: Method::GET,
         target: Uri::default(),
-        headers: HeaderMap::new(),
+        headers: CompactHeaders::default(),
         body: RequestBody::Buffered(Bytes::new()),
         client_timeout,
         deadline: Cell::new(None),
--- a/balancer/src/inbound/client_connection.rs
+++ b/balancer/src/inbound/client_connection.rs
@@ -29,6 +29,10 @@
     idle_key: Cell<Option<IdleKey>>,
     /// Notified when the connection is evicted.
     evict: Rc<Notify>,
+    /// Whether the request that is being read is rejected unparsed, because memory is short.
+    is_rejected: Cell<bool>,
+    /// Notified when that request is rejected.
+    rejected: Notify,
     /// Whether the rest of the client's input is read and discarded before the connection is
     /// closed: the client may still be sending a request that was answered before all of it was
     /// read.
@@ -49,6 +53,8 @@
             delivery: deliveries.register(),
             idle_key: Cell::new(None),
             evict: Rc::new(Notify::new()),
+            is_rejected: Cell::new(false),
+            rejected: Notify::new(),
             discards_input_before_close: Cell::new(false),
         });
         connection.mark_idle(ConnectionKind::New);
@@ -101,6 +107,22 @@
         self.evict.notified().await;
     }
 
+    /// Rejects the request that is being read: the connection's task responds and closes.
+    pub fn reject(&self) {
+        self.is_rejected.set(true);
+        self.rejected.notify_one();
+    }
+
+    /// Whether the request that is being read is rejected unparsed.
+    pub fn is_rejected(&self) -> bool {
+        self.is_rejected.get()
+    }
+
+    /// Waits until a request is rejected unparsed.
+    pub async fn request_rejected(&self) {
+        self.rejected.notified().await;
+    }
+
     /// Whether the rest of the client's input is read and discarded before the connection is
     /// closed.
     pub fn discards_input_before_close(&self) -> bool {
--- a/balancer/src/inbound/connection_task.rs
+++ b/balancer/src/inbound/connection_task.rs
@@ -37,6 +37,12 @@
 /// Largest number of bytes that are discarded in that time.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 
+/// Response to a request that is rejected before it is parsed.
+const REJECTION: &str = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\n\
+                         Content-Length: 0\r\nConnection: close\r\n\r\n";
+/// Size of the buffer for discarded input.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
 type HttpConnection<S> = http1::Connection<TokioIo<TrackedStream>, S>;
 
 /// Serves a connection until it is closed, and then releases its permit.
@@ -65,7 +71,7 @@
             Ok::<_, Infallible>(respond(&context, request, active).await)
         }
     });
-    let stream = TrackedStream::new(connection);
+    let stream = TrackedStream::new(connection, &context.memory);
     let http = pin!(http1::Builder::new()
         // A client that closes its sending side still gets its response.
         .half_close(true)
@@ -89,13 +95,20 @@
         let closes_connections = phase.borrow_and_update().closes_connections();
         tokio::select! {
             result = http.as_mut() => return close_reason(result),
-            () = connection.timed_out() => return CloseReason::TimedOut,
+            () = connection.timed_out(), if !connection.is_rejected() => {
+                return CloseReason::TimedOut;
+            }
             () = connection.evicted() => is_evicted = true,
+            () = connection.request_rejected() => {}
             changed = phase.changed() => if changed.is_err() {
                 return CloseReason::Shutdown;
             },
             () = sleep(IDLE_BEFORE_CLOSE), if closes_connections => {}
         }
+        if connection.is_rejected() {
+            reject_unparsed(connection).await;
+            return CloseReason::MemoryShort;
+        }
         if is_evicted && has_only_partial_first_head(connection) {
             return CloseReason::Evicted;
         }
@@ -112,6 +125,17 @@
     }
 }
 
+/// Rejects the request that is being read, of which hyper knows nothing. The earlier responses on the
+/// connection are delivered.
+async fn reject_unparsed(connection: &ClientConnection) {
+    connection.unmark_idle();
+    connection.set_discards_input_before_close(true);
+    let mut stream = connection.stream().clone();
+    let rejection = stream.write_all(REJECTION.as_bytes());
+    // Guards against clients that never read it.
+    let _ = timeout(RESPONSE_FLUSH_TIMEOUT, rejection).await;
+}
+
 /// Why a connection was closed, by the result of hyper's connection future. hyper itself has
 /// responded to a request that it cannot parse.
 fn close_reason(result: hyper::Result<()>) -> CloseReason {
@@ -152,8 +176,8 @@
     context.metrics.record_connection_closed(reason);
     let has_request =
         connection.delivery().has_open_request() || connection.tracker().has_undispatched_request();
-    let unanswered =
-        has_request && reason != CloseReason::Malformed && !connection.stream().peer_disconnected();
+    let is_answered = matches!(reason, CloseReason::Malformed | CloseReason::MemoryShort);
+    let unanswered = has_request && !is_answered && !connection.stream().peer_disconnected();
     tracing::debug!(
         reason = reason.name(),
         unanswered,
@@ -167,7 +191,7 @@
 /// Reads and discards the rest of the client's input.
 async fn discard_input(stream: &mut SharedStream) {
     let mut remaining = MAX_DISCARDED_BYTES;
-    let mut buffer = vec![0; MAX_HEAD_BYTES];
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
     while remaining > 0 {
         match stream.read(&mut buffer).await {
             Ok(count) if count > 0 => remaining = remaining.saturating_sub(count),
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -17,15 +17,19 @@
     client_response, empty_response, input_error_response, rejection, ClientResponse,
 };
 use crate::memory::budget::{MemoryBudget, MemoryExhausted};
+use crate::memory::report::MemoryRefusal;
 use crate::net::peer::Peer;
-use crate::outbound::headers::{remove_hop_by_hop_headers, DEADLINE_HEADER};
+use crate::outbound::compact_headers::CompactHeaders;
+use crate::outbound::headers::{end_to_end_headers, DEADLINE_HEADER};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::phase::Phase;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use balancer_core::Millis;
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -249,10 +253,12 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.method, &parts.headers, &context.deployment)?;
     check_body(&parts.method, &body)?;
+    let forwarded = ForwardedHead::from(parts);
     let end = Rc::new(RequestEnd::new(connection.stream().peer(), head_arrived_at));
     let body = TimeLimitedBody::new(body, time_waited);
     let body = read_body(body, &end, &context.memory).await;
     if let Err(RequestError::MemoryExhausted(_)) = body {
+        context.memory.record_refused(MemoryRefusal::RequestBody);
         context
             .metrics
             .record_completed(head.class, RequestOutcome::Rejected);
@@ -268,7 +274,7 @@
         RequestBody::Streamed(upload) => Some(upload.clone()),
         RequestBody::Buffered(_) => None,
     };
-    let outbound = outbound_request(parts, body, connection.stream().peer(), client_timeout);
+    let outbound = outbound_request(forwarded, body, connection.stream().peer(), client_timeout);
     // The client may have disconnected while its connection waited for a permit or in the
     // listener's queue. Nothing has been sent to an upstream yet, so the request can be rejected.
     if connection.stream().peer_disconnected() {
@@ -321,25 +327,52 @@
     )))
 }
 
+/// What is kept of the head of a request until the request ends. It shares no memory with the buffer
+/// that the head was read into.
+struct ForwardedHead {
+    request_id: Option<HeaderValue>,
+    method: Method,
+    target: Uri,
+    headers: CompactHeaders,
+}
+
+impl From<request::Parts> for ForwardedHead {
+    fn from(parts: request::Parts) -> ForwardedHead {
+        let mut headers = parts.headers;
+        headers.remove(&DEADLINE_HEADER);
+        ForwardedHead {
+            request_id: headers.get("req-id").and_then(copy_of_value),
+            method: parts.method,
+            target: copy_of_target(&parts.uri),
+            headers: end_to_end_headers(headers),
+        }
+    }
+}
+
+fn copy_of_value(value: &HeaderValue) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(value.as_bytes()).ok()
+}
+
+/// Path and query of a request.
+fn copy_of_target(uri: &Uri) -> Uri {
+    uri.path_and_query()
+        .map(|target| Bytes::copy_from_slice(target.as_str().as_bytes()))
+        .and_then(|target| PathAndQuery::from_maybe_shared(target).ok())
+        .map(Uri::from)
+        .unwrap_or_default()
+}
+
 fn outbound_request(
-    parts: request::Parts,
+    head: ForwardedHead,
     body: RequestBody,
     client: Peer,
     client_timeout: Duration,
 ) -> OutboundRequest {
-    let mut headers = parts.headers;
-    remove_hop_by_hop_headers(&mut headers);
-    headers.remove(&DEADLINE_HEADER);
-    let target = parts
-        .uri
-        .path_and_query()
-        .map(|path| Uri::from(path.clone()))
-        .unwrap_or_default();
     OutboundRequest {
-        request_id: headers.get("req-id").cloned(),
-        method: parts.method,
-        target,
-        headers,
+        request_id: head.request_id,
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
         body,
         client_timeout,
         deadline: Cell::new(None),
--- a/balancer/src/inbound/responses.rs
+++ b/balancer/src/inbound/responses.rs
@@ -1,10 +1,11 @@
 //! Responses to clients.
 use crate::body::response_body::{ClientResponseBody, UpstreamResponseBody};
+use crate::outbound::compact_headers::CompactHeaders;
 use crate::outbound::message::FinalResponse;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use balancer_core::Millis;
 use bytes::Bytes;
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
 /// A response to a client. Its body may hold a guard of type `G` until the body is dropped.
@@ -46,7 +47,15 @@
     request: InFlightRequest,
 ) -> ClientResponse<G> {
     match final_response {
-        FinalResponse::Served { headers, body } => served_response(headers, body, request),
+        FinalResponse::Served {
+            headers,
+            memory,
+            body,
+        } => {
+            let mut response = served_response(headers, body, request);
+            response.body_mut().hold_memory_for_head(memory);
+            response
+        }
         FinalResponse::Rejected { retry_after } => {
             request.set_outcome(RequestOutcome::Rejected);
             rejection(retry_after)
@@ -67,7 +76,7 @@
 }
 
 fn served_response<G>(
-    headers: HeaderMap,
+    headers: CompactHeaders,
     body: UpstreamResponseBody,
     request: InFlightRequest,
 ) -> ClientResponse<G> {
@@ -79,6 +88,6 @@
         UpstreamResponseBody::Streamed(stream) => ClientResponseBody::streamed(stream, request),
     };
     let mut response = Response::new(body);
-    *response.headers_mut() = headers;
+    *response.headers_mut() = headers.to_map();
     response
 }
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -6,7 +6,7 @@
 use crate::inbound::context::ServerContext;
 use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
-use crate::memory::budget::MemoryBudget;
+use crate::memory::budget::{MemoryBudget, MemoryUse};
 use crate::net::descriptor_budget::{is_resource_shortage, ConnectionPermit, DescriptorBudget};
 use crate::net::listener::{register_accepted, Listener};
 use crate::net::tcp_stream::TcpStream;
@@ -32,6 +32,13 @@
 /// Interval between two attempts to evict a connection while no permit is free.
 const PERMIT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Idle connections are closed while less than this is left for ordinary requests.
+const MIN_ADMISSION_ROOM_BYTES: usize = 256 << 10;
+/// Interval between two evictions while memory is short.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
+/// Most connections that are evicted at once, as their memory is returned later.
+const MAX_EVICTIONS_AT_ONCE: usize = 4;
+
 /// What a server uses and reports to.
 pub struct ServerOptions {
     /// Accepts the requests and selects their upstreams.
@@ -40,7 +47,7 @@
     pub deployment: Deployment,
     /// Limits the number of connections.
     pub descriptors: DescriptorBudget,
-    /// Limits the memory of buffered bodies.
+    /// Limits the memory of the process.
     pub memory: MemoryBudget,
     /// Counts requests and connections.
     pub metrics: Rc<Metrics>,
@@ -79,6 +86,7 @@
     /// Accepts clients until the process drains. Returns once every connection is closed.
     pub async fn run(self, listener: Listener) {
         let context = self.context;
+        tokio::task::spawn_local(evict_while_memory_is_short(context.clone()));
         let queue_delay = AcceptLoop::new(&context, &listener).run().await;
         accept_remaining(&context, listener, queue_delay).await;
         context.is_listening.set(false);
@@ -235,6 +243,26 @@
     }
 }
 
+/// Closes idle connections while memory for ordinary requests is short.
+async fn evict_while_memory_is_short(context: Rc<ServerContext>) {
+    let mut shortages = context.memory.shortages();
+    while shortages.wait_for(|is_short| *is_short).await.is_ok() {
+        let has_room = || {
+            context
+                .memory
+                .has_room(MemoryUse::Admission, MIN_ADMISSION_ROOM_BYTES)
+        };
+        for _ in 0..MAX_EVICTIONS_AT_ONCE {
+            if has_room() {
+                break;
+            }
+            context.idle_connections.evict_idle_connection();
+            context.driver.close_oldest_idle_connection();
+        }
+        sleep(EVICTION_INTERVAL).await;
+    }
+}
+
 /// Starts the task of a connection that arrived in the listener's queue at `arrived_at` at the
 /// earliest. If the connection cannot yet be registered with the event loop, it waits until it can,
 /// as a connection without a permit does.
--- a/balancer/src/inbound/tracked_stream.rs
+++ b/balancer/src/inbound/tracked_stream.rs
@@ -1,8 +1,10 @@
 //! Tracks what is read from and written to a client before hyper parses it, and after hyper has
 //! encoded it.
 use crate::inbound::client_connection::ClientConnection;
-use crate::inbound::request_framing::{parse_framing, BodyFraming};
+use crate::inbound::request_framing::{BodyFraming, HeadScanner, HeadSize};
 use crate::inbound::request_tracker::RequestTracker;
+use crate::memory::budget::{MemoryBudget, MemoryUse};
+use crate::memory::report::MemoryRefusal;
 use crate::net::shared_stream::{SharedStream, MAX_HEAD_BYTES};
 use std::io;
 use std::pin::Pin;
@@ -11,6 +13,16 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+/// A head with more bytes or more lines counts as large for the memory budget.
+const MAX_ORDINARY_HEAD: HeadSize = HeadSize {
+    bytes: 4 << 10,
+    lines: 32,
+};
+/// Memory that an ordinary request takes until it waits for its upstream.
+const ORDINARY_REQUEST_BYTES: usize = 8 << 10;
+/// The same of a request with the largest head: what hyper reads it into, and what is parsed of it.
+const LARGE_REQUEST_BYTES: usize = 64 << 10;
+
 /// Position of the next byte.
 enum Position {
     /// Within a head, or before one.
@@ -38,19 +50,21 @@
 pub struct TrackedStream {
     connection: Rc<ClientConnection>,
     stream: SharedStream,
-    /// The part of a head that has been read.
-    head: Vec<u8>,
+    /// The head that is being read.
+    head: HeadScanner,
     position: Position,
+    memory: MemoryBudget,
 }
 
 impl TrackedStream {
     /// Tracks the stream of a new connection.
-    pub fn new(connection: &Rc<ClientConnection>) -> TrackedStream {
+    pub fn new(connection: &Rc<ClientConnection>, memory: &MemoryBudget) -> TrackedStream {
         TrackedStream {
             connection: connection.clone(),
             stream: connection.stream().clone(),
-            head: Vec::new(),
+            head: HeadScanner::default(),
             position: Position::Head,
+            memory: memory.clone(),
         }
     }
 
@@ -66,16 +80,23 @@
         }
     }
 
-    /// Tracks bytes that were read and had arrived at `arrival`.
-    fn track(&mut self, mut bytes: &[u8], arrival: Instant) {
+    /// Tracks bytes that were read and had arrived at `arrival`. Returns the largest head, or part of
+    /// one, among them.
+    fn track(&mut self, mut bytes: &[u8], arrival: Instant) -> Option<HeadSize> {
+        let mut largest_head = None;
         while !bytes.is_empty() {
             match self.position {
-                Position::Untracked => return,
+                Position::Untracked => return largest_head,
                 Position::Body { remaining } => bytes = self.track_body(bytes, remaining),
-                Position::Head => bytes = self.track_head(bytes, arrival),
+                Position::Head => {
+                    let (size, rest) = self.track_head(bytes, arrival);
+                    largest_head = largest_head.max(size);
+                    bytes = rest;
+                }
             }
         }
-        self.tracker().set_partial_head(!self.head.is_empty());
+        self.tracker().set_partial_head(self.head.has_begun());
+        largest_head
     }
 
     /// Skips the body's bytes and returns the rest.
@@ -92,41 +113,56 @@
         &bytes[count..]
     }
 
-    /// Collects the head's bytes and returns the rest.
-    fn track_head<'a>(&mut self, mut bytes: &'a [u8], arrival: Instant) -> &'a [u8] {
-        if self.head.is_empty() {
+    /// Scans the head's bytes and returns its size so far, if it has begun, and the rest.
+    fn track_head<'a>(
+        &mut self,
+        mut bytes: &'a [u8],
+        arrival: Instant,
+    ) -> (Option<HeadSize>, &'a [u8]) {
+        if !self.head.has_begun() {
             bytes = skip_blank_lines(bytes);
-            if !bytes.is_empty() {
-                self.tracker().record_head_start();
+            if bytes.is_empty() {
+                return (None, bytes);
             }
+            self.tracker().record_head_start();
         }
-        while let Some(end) = bytes.iter().position(|&byte| byte == b'\n') {
-            let (line, rest) = bytes.split_at(end + 1);
-            self.head.extend_from_slice(line);
-            bytes = rest;
-            if self.head.ends_with(b"\n\r\n") || self.head.ends_with(b"\n\n") {
-                self.finish_head(arrival);
-                return bytes;
-            }
+        let end = self.head.scan(bytes);
+        let size = self.head.size();
+        if let Some(end) = end {
+            self.finish_head(arrival);
+            return (Some(size), &bytes[end..]);
         }
-        self.head.extend_from_slice(bytes);
-        if self.head.len() > MAX_HEAD_BYTES {
-            self.head = Vec::new();
+        if size.bytes > MAX_HEAD_BYTES {
+            self.head = HeadScanner::default();
             self.position = Position::Untracked;
         }
-        &[]
+        (Some(size), &[])
     }
 
     fn finish_head(&mut self, arrival: Instant) {
         self.tracker().record_head_end(arrival);
-        self.position = match parse_framing(&self.head) {
+        let head = std::mem::take(&mut self.head);
+        self.position = match head.framing() {
             Ok(framing) => framing.into(),
             Err(_) => {
                 self.tracker().record_ambiguous_head();
                 Position::Untracked
             }
         };
-        self.head = Vec::new();
+    }
+
+    /// Whether memory is left for a request with a head of this size. Only a request that is the first
+    /// after a delivered response can be rejected before it is parsed.
+    fn may_admit(&self, head: HeadSize) -> bool {
+        if !self.connection.is_idle() {
+            return true;
+        }
+        let (memory_use, needed) = if head.is_within(MAX_ORDINARY_HEAD) {
+            (MemoryUse::Admission, ORDINARY_REQUEST_BYTES)
+        } else {
+            (MemoryUse::Bulk, LARGE_REQUEST_BYTES)
+        };
+        self.memory.check(memory_use, needed).is_ok()
     }
 }
 
@@ -145,10 +181,20 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.connection.is_rejected() {
+            return Poll::Pending;
+        }
         let filled_before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let arrival = self.stream.take_arrival_time();
-        self.track(&buf.filled()[filled_before..], arrival);
+        let largest_head = self.track(&buf.filled()[filled_before..], arrival);
+        if largest_head.is_some_and(|head| !self.may_admit(head)) {
+            self.memory.record_refused(MemoryRefusal::RequestHead);
+            // The task of the connection responds and closes it.
+            self.connection.reject();
+            buf.set_filled(filled_before);
+            return Poll::Pending;
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt: sends a request to one upstream once, and receives its response.
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::invariants::{Guard, WriteConditions};
-use crate::memory::budget::MemoryBudget;
+use crate::memory::budget::{MemoryBudget, MemoryUse, Reservation};
+use crate::memory::report::MemoryRefusal;
 use crate::net::shared_stream::{SharedStream, WriteProgress};
 use crate::outbound::attempt::reception::StartedResponse;
 use crate::outbound::attempt_result::{AttemptResult, SendRequestError};
@@ -29,6 +30,9 @@
 /// is unwritten has not run, so it may then use another connection.
 const BODY_DELAY_ON_POOLED_CONNECTION: Duration = Duration::from_millis(2);
 
+/// Memory of an attempt that opens a connection, apart from the head of its request.
+const ATTEMPT_BYTES: usize = 28 << 10;
+
 /// The connector and the write checks that all attempts share.
 #[derive(Clone)]
 pub struct Transport {
@@ -113,10 +117,11 @@
         on_connected: impl Fn(),
     ) -> Result<StartedResponse, SendRequestError> {
         loop {
+            let memory = self.reserve_memory()?;
             let connector = &self.transport.connector;
             let acquired = connector.connect(&self.upstream, self.deadline).await?;
             on_connected();
-            if let Some(started) = self.send_request_on(acquired).await? {
+            if let Some(started) = self.send_request_on(acquired, memory).await? {
                 return Ok(started);
             }
         }
@@ -128,6 +133,7 @@
     async fn send_request_on(
         &self,
         acquired: AcquiredConnection,
+        memory: Reservation,
     ) -> Result<Option<StartedResponse>, SendRequestError> {
         let AcquiredConnection {
             mut connection,
@@ -136,7 +142,7 @@
         let connected_at = Instant::now();
         let lease = ReuseLease::new(&self.upstream, &connection);
         self.check_write_allowed()?;
-        let write_denied = self.recheck_at_first_byte(&connection.socket);
+        let write_denied = self.recheck_at_first_byte(&connection.socket, memory);
         let progress = connection.socket.write_progress();
         let request = self.build_request(origin, &progress, connected_at)?;
         let sent = tokio::select! {
@@ -190,6 +196,17 @@
             && outcome_of_response(response) == AttemptOutcome::Success
     }
 
+    /// Reserves the memory that the attempt takes until the head of its request is written. A shortage
+    /// in this process is no evidence of a failure of the upstream.
+    fn reserve_memory(&self) -> Result<Reservation, AttemptOutcome> {
+        let memory = &self.transport.memory;
+        let needed = ATTEMPT_BYTES + self.request.headers.sending_bytes();
+        memory.reserve(MemoryUse::Completion, needed).map_err(|_| {
+            memory.record_refused(MemoryRefusal::Attempt);
+            AttemptOutcome::NotSent
+        })
+    }
+
     /// Checks the write conditions, which may have changed while the attempt connected.
     fn check_write_allowed(&self) -> Result<(), AttemptOutcome> {
         let conditions = write_conditions(&self.upstream, &self.request, self.deadline, false);
@@ -202,8 +219,8 @@
     /// Sets a second check of the write conditions, which runs when the request's first write is
     /// tried: the connection's task may try it later than this call, and the whole process may be
     /// suspended between the two. The returned flag tells whether the second check denied the
-    /// write.
-    fn recheck_at_first_byte(&self, socket: &SharedStream) -> Rc<Cell<bool>> {
+    /// write. The reserved memory is allocated by then.
+    fn recheck_at_first_byte(&self, socket: &SharedStream, memory: Reservation) -> Rc<Cell<bool>> {
         let denied = Rc::new(Cell::new(false));
         let denied_by_check = denied.clone();
         let guard = self.transport.guard.clone();
@@ -211,6 +228,7 @@
         let request = self.request.clone();
         let deadline = self.deadline;
         socket.set_write_check(Box::new(move || {
+            drop(memory);
             let client_disconnected = request.client_disconnected();
             let conditions = write_conditions(&upstream, &request, deadline, client_disconnected);
             denied_by_check.set(guard.check_write(conditions).is_err());
--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -2,9 +2,11 @@
 use super::Attempt;
 use crate::body::limits::MAX_BODY_BYTES;
 use crate::body::response_body::{upstream_body_stream, UpstreamResponseBody};
+use crate::memory::budget::MemoryUse;
 use crate::outbound::attempt_result::AttemptResult;
+use crate::outbound::compact_headers::CompactHeaders;
 use crate::outbound::connection_pool::Connection;
-use crate::outbound::headers::remove_hop_by_hop_headers;
+use crate::outbound::headers::end_to_end_headers;
 use crate::outbound::message::FinalResponse;
 use crate::outbound::response_buffer::{buffer_body, declares_large_body, BufferedBody};
 use crate::outbound::response_outcome::{has_unambiguous_end, outcome_of_response};
@@ -18,6 +20,7 @@
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time allowed for a connection to become ready for its next request after a complete response.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(5);
@@ -26,6 +29,9 @@
 /// only decides whether the connection can be reused.
 const UNSUCCESSFUL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// A head that takes more memory than this to send counts as large.
+const MAX_ORDINARY_HEAD_BYTES: usize = 8 << 10;
+
 /// A response that has begun: its head, and the connection on which its body follows.
 pub(super) struct StartedResponse {
     pub(super) connection: Connection,
@@ -33,6 +39,22 @@
     pub(super) response: Response<Incoming>,
 }
 
+/// What is kept of the head of a response until it is passed on.
+struct ForwardedHead {
+    status: StatusCode,
+    /// End-to-end headers.
+    headers: CompactHeaders,
+}
+
+impl From<response::Parts> for ForwardedHead {
+    fn from(head: response::Parts) -> ForwardedHead {
+        ForwardedHead {
+            status: head.status,
+            headers: end_to_end_headers(head.headers),
+        }
+    }
+}
+
 impl Attempt<'_> {
     /// Buffers or relays the body of a response. After a complete response, returns the connection
     /// to the pool.
@@ -53,6 +75,7 @@
         }
         let outcome = outcome_of_response(&response);
         let (head, mut body) = response.into_parts();
+        let head = ForwardedHead::from(head);
         let buffered = self
             .buffer_response(&mut body, declared_length, outcome)
             .await?;
@@ -60,9 +83,22 @@
             return Err(AttemptOutcome::Error);
         }
         let response = match buffered {
-            BufferedBody::Complete(buffered) => final_response(outcome, head, buffered),
+            BufferedBody::Complete(buffered) if outcome == AttemptOutcome::Success => {
+                let body = UpstreamResponseBody::Buffered(buffered);
+                Some(self.served(head.headers, body).await)
+            }
+            BufferedBody::Complete(_) => client_error(outcome, head.status),
             BufferedBody::Partial(buffered) if outcome == AttemptOutcome::Success => {
-                let relay = self.start_relay(head, body, declared_length, on_response_started);
+                let (sender, stream) = upstream_body_stream(declared_length);
+                let stream = UpstreamResponseBody::Streamed(stream);
+                on_response_started(self.served(head.headers, stream).await);
+                let relay = Relay::new(
+                    sender,
+                    body,
+                    declares_large_body(declared_length),
+                    self.progress.clone(),
+                    self.request.clone(),
+                );
                 relay.run(buffered).await?;
                 None
             }
@@ -100,28 +136,23 @@
             .unwrap_or(Ok(BufferedBody::Partial(Bytes::new())))
     }
 
-    /// Passes on the head of a large response, and returns the relay for its body.
-    fn start_relay(
-        &self,
-        mut head: response::Parts,
-        body: Incoming,
-        declared_length: Option<u64>,
-        on_response_started: impl FnOnce(FinalResponse),
-    ) -> Relay {
-        remove_hop_by_hop_headers(&mut head.headers);
-        let (sender, stream) = upstream_body_stream(declared_length);
-        on_response_started(FinalResponse::Served {
-            headers: head.headers,
-            body: UpstreamResponseBody::Streamed(stream),
-        });
-        let declares_large_body = declares_large_body(declared_length);
-        Relay::new(
-            sender,
+    /// The response to pass on to the client. One with a large head waits for memory to send it.
+    async fn served(&self, headers: CompactHeaders, body: UpstreamResponseBody) -> FinalResponse {
+        let needed = headers.sending_bytes();
+        let latest = if needed > MAX_ORDINARY_HEAD_BYTES {
+            self.request.expires_at()
+        } else {
+            Instant::now()
+        };
+        let memory = self
+            .transport
+            .memory
+            .reserve_until(latest, MemoryUse::Completion, needed);
+        FinalResponse::Served {
+            memory: Some(memory.await),
+            headers,
             body,
-            declares_large_body,
-            self.progress.clone(),
-            self.request.clone(),
-        )
+        }
     }
 
     async fn return_connection(&self, mut connection: Connection) {
@@ -133,22 +164,6 @@
     }
 }
 
-/// The final response of an attempt whose response was buffered completely.
-fn final_response(
-    outcome: AttemptOutcome,
-    mut head: response::Parts,
-    body: Bytes,
-) -> Option<FinalResponse> {
-    if outcome != AttemptOutcome::Success {
-        return client_error(outcome, head.status);
-    }
-    remove_hop_by_hop_headers(&mut head.headers);
-    Some(FinalResponse::Served {
-        headers: head.headers,
-        body: UpstreamResponseBody::Buffered(body),
-    })
-}
-
 /// The final response to a request that its upstream found invalid. Another upstream would reject
 /// it too, and it is no evidence of a failure of this one.
 fn client_error(outcome: AttemptOutcome, status: StatusCode) -> Option<FinalResponse> {
--- a/balancer/src/outbound/dispatch.rs
+++ b/balancer/src/outbound/dispatch.rs
@@ -2,12 +2,12 @@
 use crate::body::response_body::UpstreamResponseBody;
 use crate::outbound::attempt::Transport;
 use crate::outbound::attempt_result::AttemptResult;
+use crate::outbound::compact_headers::CompactHeaders;
 use crate::outbound::connection_pool::Upstream;
 use crate::outbound::message::{FinalResponse, OutboundRequest};
 use crate::outbound::response_progress::ResponseProgress;
 use balancer_core::AttemptOutcome;
 use bytes::Bytes;
-use hyper::HeaderMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -48,7 +48,8 @@
             Dispatch::Simulated => AttemptResult {
                 outcome: AttemptOutcome::Success,
                 response: Some(FinalResponse::Served {
-                    headers: HeaderMap::new(),
+                    headers: CompactHeaders::default(),
+                    memory: None,
                     body: UpstreamResponseBody::Buffered(Bytes::new()),
                 }),
             },
--- a/balancer/src/outbound/headers.rs
+++ b/balancer/src/outbound/headers.rs
@@ -1,4 +1,5 @@
 //! Headers that the balancer adds, reads or removes when it forwards requests and responses.
+use crate::outbound::compact_headers::CompactHeaders;
 use hyper::header::{self, HeaderMap, HeaderName};
 
 /// Tells an upstream the remaining time of an attempt, in microseconds with the suffix `u`.
@@ -18,9 +19,15 @@
     header::UPGRADE,
 ];
 
+/// The headers of a message that are forwarded with it.
+pub fn end_to_end_headers(mut headers: HeaderMap) -> CompactHeaders {
+    remove_hop_by_hop_headers(&mut headers);
+    CompactHeaders::from(&headers)
+}
+
 /// Removes the headers that belong to one connection, `Expect`, and `Content-Length`; the body is
 /// framed anew for the next connection.
-pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
+fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let connection_options: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/balancer/src/outbound/message.rs
+++ b/balancer/src/outbound/message.rs
@@ -2,9 +2,11 @@
 use crate::body::body_error::BodyError;
 use crate::body::request_body::{AttemptBody, RequestBody};
 use crate::body::response_body::UpstreamResponseBody;
+use crate::memory::budget::Reservation;
 use crate::net::peer::Peer;
+use crate::outbound::compact_headers::CompactHeaders;
 use balancer_core::Millis;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode, Uri};
 use std::borrow::Cow;
 use std::cell::Cell;
@@ -25,7 +27,7 @@
     /// Path and query.
     pub target: Uri,
     /// End-to-end headers.
-    pub headers: HeaderMap,
+    pub headers: CompactHeaders,
     /// The body.
     pub body: RequestBody,
     /// How long the client waits after the end of its request.
@@ -54,7 +56,7 @@
             .method(self.method.clone())
             .uri(self.target.clone())
             .body(body)?;
-        *request.headers_mut() = self.headers.clone();
+        *request.headers_mut() = self.headers.to_map();
         Ok(request)
     }
 
@@ -86,7 +88,9 @@
     /// An upstream's response.
     Served {
         /// Its end-to-end headers.
-        headers: HeaderMap,
+        headers: CompactHeaders,
+        /// Memory for sending the headers; `None` for a response that is not sent over a socket.
+        memory: Option<Reservation>,
         /// Its body.
         body: UpstreamResponseBody,
     },
--- a/balancer/src/outbound/mod.rs
+++ b/balancer/src/outbound/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod attempt;
 pub(crate) mod attempt_result;
 mod body_pace;
+pub(crate) mod compact_headers;
 pub(crate) mod connection_pool;
 pub(crate) mod connector;
 pub(crate) mod dispatch;
--- a/balancer/src/test_support.rs
+++ b/balancer/src/test_support.rs
@@ -1,8 +1,11 @@
 //! Helpers that several test files of this crate share.
 use crate::body::request_body::RequestBody;
+use crate::memory::budget::MemoryBudget;
+use crate::net::descriptor_budget::DescriptorBudget;
+use crate::outbound::compact_headers::CompactHeaders;
 use crate::outbound::message::OutboundRequest;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Uri};
+use hyper::{Method, Uri};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -10,13 +13,16 @@
 /// Longer than a test runs.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The least descriptors of a process.
+const MIN_DESCRIPTORS: usize = 64;
+
 /// A GET request as it is forwarded to upstreams.
 pub fn get_request() -> OutboundRequest {
     OutboundRequest {
         request_id: None,
         method: Method::GET,
         target: Uri::from_static("/api"),
-        headers: HeaderMap::new(),
+        headers: CompactHeaders::default(),
         body: RequestBody::Buffered(Bytes::new()),
         client_timeout: CLIENT_TIMEOUT,
         deadline: Cell::new(None),
@@ -25,6 +31,11 @@
     }
 }
 
+/// A memory budget without a limit.
+pub fn unlimited_memory() -> MemoryBudget {
+    MemoryBudget::new(None, DescriptorBudget::new(MIN_DESCRIPTORS))
+}
+
 /// A listener with a full accept queue. The system drops connection attempts and retransmits them
 /// after a second, so that connections open late, as over a network that loses packets.
 pub struct FullListener {
