Keep what uploads hold for an upstream that does not read within the budget

What callers saw: clients that stopped half way through a large request took a process over its memory limit.

Cause: only the first 64 KiB of an upload, which may be sent again, were in the budget. Chunks on their way to an upstream that did not read were not, and hyper doubles its read buffers of 8 KiB for each peer that sends fast, and keeps them.

Change: while the upstream's socket accepts nothing, a chunk waits for memory (bulk) before it is copied, and nothing more is read from the client. What the upstream takes at once does not stay in memory and does not wait. One read is less than hyper's first buffer, so it stays at 8 KiB.

--- a/balancer/src/body/request_body.rs
+++ b/balancer/src/body/request_body.rs
@@ -1,7 +1,7 @@
 //! Request bodies as they are forwarded to upstreams.
 use crate::body::body_error::BodyError;
 use crate::body::upload::Upload;
-use crate::net::shared_stream::WriteProgress;
+use crate::net::shared_stream::{Output, SharedStream, WriteProgress};
 use crate::time::{sleep, Sleep};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -38,6 +38,8 @@
     /// noticed within the delay, before any of the body is sent.
     delay: Option<Pin<Box<Sleep>>>,
     write_progress: Rc<Cell<WriteProgress>>,
+    /// The state of writing to the upstream.
+    output: Rc<Output>,
 }
 
 /// The unwritten part of a body.
@@ -58,14 +60,15 @@
 }
 
 impl AttemptBody {
-    /// A body that is written after `delay`. `write_progress` becomes
+    /// A body that is written after `delay`. The socket's write progress becomes
     /// [`WriteProgress::HandedOver`] with the last byte of the request. Returns `None` if the start
-    /// of the body is no longer buffered.
+    /// of the body is no longer buffered. The body is written to `socket`.
     pub fn new(
         body: &RequestBody,
         delay: Option<Duration>,
-        write_progress: Rc<Cell<WriteProgress>>,
+        socket: &SharedStream,
     ) -> Option<AttemptBody> {
+        let write_progress = socket.write_progress();
         let unsent = match body {
             RequestBody::Buffered(body) if body.is_empty() => UnsentBody::Nothing,
             RequestBody::Buffered(body) => UnsentBody::Buffered(body.clone()),
@@ -84,6 +87,7 @@
             unsent,
             delay: delay.map(|delay| Box::pin(sleep(delay))),
             write_progress,
+            output: socket.output().clone(),
         })
     }
 
@@ -105,6 +109,7 @@
             ready!(delay.as_mut().poll(cx));
             self.delay = None;
         }
+        let is_blocked = self.output.is_blocked();
         let next = match &mut self.unsent {
             UnsentBody::Nothing => None,
             UnsentBody::Buffered(body) => {
@@ -113,7 +118,7 @@
                 Some(Ok(body))
             }
             UnsentBody::Streamed { upload, position } => {
-                let next = ready!(upload.poll_next(cx, position));
+                let next = ready!(upload.poll_next(cx, position, is_blocked));
                 if next.is_none() || upload.ends_at(*position) {
                     self.finish();
                 }
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -4,8 +4,11 @@
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BUFFERED_BODY_BYTES};
 use crate::body::request_end::{ClientState, RequestEnd};
 use crate::body::time_limited_body::TimeLimitedBody;
+use crate::memory::budget::{MemoryBudget, MemoryUse};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -32,16 +35,39 @@
     end: Rc<RequestEnd>,
     /// When an attempt last polled for data.
     last_polled_at: Cell<Instant>,
+    memory: MemoryBudget,
 }
 
 struct UploadState {
     body: TimeLimitedBody,
+    /// A chunk that has been read and waits for memory to be copied.
+    waiting_chunk: Option<WaitingChunk>,
     /// All bytes received, while they are not more than [`MAX_BUFFERED_BODY_BYTES`] and memory is
     /// left.
     buffered: Option<BodyBuffer>,
     is_complete: bool,
 }
 
+/// A chunk that waits for memory.
+struct WaitingChunk {
+    chunk: Bytes,
+    memory_available: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl WaitingChunk {
+    fn new(chunk: Bytes, memory: MemoryBudget) -> WaitingChunk {
+        let needed = chunk.len();
+        WaitingChunk {
+            chunk,
+            memory_available: Box::pin(async move {
+                memory
+                    .wait_until(|memory| memory.has_room(MemoryUse::Bulk, needed))
+                    .await;
+            }),
+        }
+    }
+}
+
 /// What the observer is notified of after a poll.
 #[derive(Clone, Copy, Default)]
 struct UploadProgress {
@@ -50,6 +76,31 @@
 }
 
 impl UploadState {
+    /// Polls for the next data of the body. If the upstream `is_blocked`, polls then until there is
+    /// memory for a copy of it, and nothing more is read from the client. What the upstream takes at
+    /// once does not stay in memory.
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+        memory: &MemoryBudget,
+        is_blocked: bool,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if self.waiting_chunk.is_none() {
+            let next = ready!(self.body.poll_next(cx));
+            let Some(Ok(chunk)) = next else {
+                return Poll::Ready(next);
+            };
+            if !is_blocked || memory.has_room(MemoryUse::Bulk, chunk.len()) {
+                return Poll::Ready(Some(Ok(chunk)));
+            }
+            self.waiting_chunk = Some(WaitingChunk::new(chunk, memory.clone()));
+        }
+        if let Some(waiting) = self.waiting_chunk.as_mut().filter(|_| is_blocked) {
+            ready!(waiting.memory_available.as_mut().poll(cx));
+        }
+        Poll::Ready(self.waiting_chunk.take().map(|waiting| Ok(waiting.chunk)))
+    }
+
     /// Records the data of a poll.
     fn record(&mut self, next: Option<&Result<Bytes, BodyError>>) -> UploadProgress {
         let mut progress = UploadProgress::default();
@@ -78,14 +129,20 @@
 
 impl Upload {
     /// An upload whose start `buffered` has been read; `body` is the rest, and `end` the end of its
-    /// request.
-    pub fn new(body: TimeLimitedBody, buffered: BodyBuffer, end: Rc<RequestEnd>) -> Rc<Upload> {
+    /// request. `memory` limits what waits for the upstream.
+    pub fn new(
+        body: TimeLimitedBody,
+        buffered: BodyBuffer,
+        end: Rc<RequestEnd>,
+        memory: &MemoryBudget,
+    ) -> Rc<Upload> {
         let length = body
             .remaining_length()
             .map(|remaining| remaining + buffered.len() as u64);
         Rc::new(Upload {
             state: RefCell::new(UploadState {
                 body,
+                waiting_chunk: None,
                 buffered: Some(buffered),
                 is_complete: false,
             }),
@@ -94,6 +151,7 @@
             error: Cell::new(None),
             end,
             last_polled_at: Cell::new(Instant::now()),
+            memory: memory.clone(),
         })
     }
 
@@ -160,15 +218,18 @@
     }
 
     /// Polls for bytes after the first `position` ones, and advances `position`. The bytes are a copy:
-    /// they are kept until the upstream reads on.
+    /// they are kept until the upstream reads on. `is_blocked` tells that it does not read now.
     pub fn poll_next(
         &self,
         cx: &mut Context<'_>,
         position: &mut usize,
+        is_blocked: bool,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        self.last_polled_at.set(Instant::now());
         self.update_end();
         let mut state = self.state.borrow_mut();
+        if state.waiting_chunk.is_none() {
+            self.last_polled_at.set(Instant::now());
+        }
         let buffered_chunk = state
             .buffered
             .as_ref()
@@ -180,7 +241,7 @@
         if state.is_complete {
             return Poll::Ready(None);
         }
-        let next = ready!(state.body.poll_next(cx));
+        let next = ready!(state.poll_body(cx, &self.memory, is_blocked));
         let progress = state.record(next.as_ref());
         // The observer may call back into this upload.
         drop(state);
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -324,6 +324,7 @@
         body,
         buffered,
         end.clone(),
+        memory,
     )))
 }
 
--- a/balancer/src/net/shared_stream.rs
+++ b/balancer/src/net/shared_stream.rs
@@ -42,6 +42,30 @@
 #[error("the write was denied")]
 struct WriteDenied;
 
+/// The state of writing to a stream.
+#[derive(Default)]
+pub struct Output {
+    /// The check for the next message.
+    check: RefCell<Option<WriteCheck>>,
+    /// Whether the socket did not accept the bytes of the last write.
+    is_blocked: Cell<bool>,
+}
+
+impl Output {
+    /// Whether the socket accepts no bytes now, although there are some to write.
+    pub fn is_blocked(&self) -> bool {
+        self.is_blocked.get()
+    }
+
+    fn run_check(&self) -> io::Result<()> {
+        let check = self.check.borrow_mut().take();
+        if check.is_none_or(|check| check()) {
+            return Ok(());
+        }
+        Err(io::Error::other(WriteDenied))
+    }
+}
+
 /// A stream with several owners; closed when the last one drops it.
 #[derive(Clone)]
 pub struct SharedStream {
@@ -52,7 +76,7 @@
     /// Whether the runtime's record that this stream is readable was cleared although bytes may be
     /// unread. The next read then asks the kernel before it waits for the runtime.
     readiness_cleared: Rc<Cell<bool>>,
-    write_check: Rc<RefCell<Option<WriteCheck>>>,
+    output: Rc<Output>,
     input_activity: Rc<InputActivity>,
     /// The bytes of the newest response, on a connection to an upstream only.
     received: Option<Rc<RefCell<ReceivedBytes>>>,
@@ -67,7 +91,7 @@
             write_progress: Rc::new(Cell::new(WriteProgress::Partial)),
             messages_written,
             readiness_cleared: Rc::default(),
-            write_check: Rc::default(),
+            output: Rc::default(),
             input_activity: Rc::default(),
             received: None,
         }
@@ -120,6 +144,23 @@
         self.write_progress.clone()
     }
 
+    /// The state of writing to the stream.
+    pub fn output(&self) -> &Rc<Output> {
+        &self.output
+    }
+
+    /// Writes as soon as the socket accepts bytes, if the message may be written.
+    fn poll_write_checked(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.output.run_check()?;
+        let result = socket_io::poll_write(&self.stream, cx, bufs);
+        self.output.is_blocked.set(result.is_pending());
+        result
+    }
+
     /// Whether the socket has unread bytes or has ended. Asks the kernel, because the runtime
     /// learns of either only when it next polls.
     pub fn unread_state(&self) -> UnreadState {
@@ -145,15 +186,7 @@
     /// Sets the check for the next message: the message is written only if `check` returns true
     /// when its first write is tried.
     pub fn set_write_check(&self, check: WriteCheck) {
-        *self.write_check.borrow_mut() = Some(check);
-    }
-
-    fn run_write_check(&self) -> io::Result<()> {
-        let check = self.write_check.borrow_mut().take();
-        if check.is_none_or(|check| check()) {
-            return Ok(());
-        }
-        Err(io::Error::other(WriteDenied))
+        *self.output.check.borrow_mut() = Some(check);
     }
 
     /// Limits how many bytes wait in the socket to be sent, so that writes follow a peer that reads
@@ -249,8 +282,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.run_write_check()?;
-        socket_io::poll_write(&self.stream, cx, &[io::IoSlice::new(buf)])
+        self.poll_write_checked(cx, &[io::IoSlice::new(buf)])
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -273,8 +305,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.run_write_check()?;
-        socket_io::poll_write(&self.stream, cx, bufs)
+        self.poll_write_checked(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/balancer/src/net/socket_io.rs
+++ b/balancer/src/net/socket_io.rs
@@ -11,6 +11,9 @@
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
+/// Most bytes of one read. hyper doubles its buffer of 8 KiB, and keeps it, once a read fills it.
+const MAX_READ_BYTES: usize = 7 << 10;
+
 /// Repeats a call while signals interrupt it.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
@@ -21,9 +24,11 @@
     }
 }
 
-/// Reads available bytes without waiting; fails with `WouldBlock` if there are none.
+/// Reads available bytes without waiting, up to [`MAX_READ_BYTES`]; fails with `WouldBlock` if there are none.
 pub fn try_read(stream: &TcpStream, buf: &mut ReadBuf<'_>) -> io::Result<()> {
-    let count = retry_interrupted(|| (&*SockRef::from(stream)).read(buf.initialize_unfilled()))?;
+    let space = buf.remaining().min(MAX_READ_BYTES);
+    let count =
+        retry_interrupted(|| (&*SockRef::from(stream)).read(buf.initialize_unfilled_to(space)))?;
     buf.advance(count);
     Ok(())
 }
--- a/balancer/src/outbound/attempt.rs
+++ b/balancer/src/outbound/attempt.rs
@@ -144,7 +144,7 @@
         self.check_write_allowed()?;
         let write_denied = self.recheck_at_first_byte(&connection.socket, memory);
         let progress = connection.socket.write_progress();
-        let request = self.build_request(origin, &progress, connected_at)?;
+        let request = self.build_request(origin, &connection.socket, connected_at)?;
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => sent,
@@ -243,14 +243,14 @@
     fn build_request(
         &self,
         origin: ConnectionOrigin,
-        progress: &Rc<Cell<WriteProgress>>,
+        socket: &SharedStream,
         now: Instant,
     ) -> Result<Request<AttemptBody>, AttemptOutcome> {
         let body_delay = match origin {
             ConnectionOrigin::Pooled => Some(self.transport.body_delay_on_pooled_connection),
             ConnectionOrigin::New => None,
         };
-        let body = AttemptBody::new(&self.request.body, body_delay, progress.clone())
+        let body = AttemptBody::new(&self.request.body, body_delay, socket)
             .ok_or(AttemptOutcome::NotSent)?;
         let mut request = self
             .request
--- a/balancer/src/outbound/surplus_reporter/tests.rs
+++ b/balancer/src/outbound/surplus_reporter/tests.rs
@@ -30,13 +30,7 @@
     assert_eq!(acquired.origin, ConnectionOrigin::New);
     let (mut peer, _) = listener.accept().expect("accepts");
     let request = get_request();
-    let body = AttemptBody::new(
-        &request.body,
-        None,
-        Rc::new(std::cell::Cell::new(
-            crate::net::shared_stream::WriteProgress::Partial,
-        )),
-    );
+    let body = AttemptBody::new(&request.body, None, &acquired.connection.socket);
     let request = request.to_http(body.expect("a body")).expect("a request");
     let response = acquired.connection.sender.send_request(request);
     let server = std::thread::spawn(move || {
--- a/balancer/tests/memory_crowds.rs
+++ b/balancer/tests/memory_crowds.rs
@@ -75,3 +75,11 @@
 fn response_heads_of_many_fields_stay_within_the_memory_limit() {
     play_crowd(CrowdClient::ManyResponseFields, 64 << 10);
 }
+
+/// Guards against uploads that hold more than their budget while their clients and upstreams stand
+/// still.
+#[test]
+fn uploads_that_stop_half_way_stay_within_the_memory_limit() {
+    play_crowd(CrowdClient::StoppedUpload, 9000);
+    play_crowd(CrowdClient::StoppedSmallUpload, 9000);
+}
