Relay responses to slow readers within the memory budget

What callers saw: some hundred clients that read long responses slowly took a process over its memory limit at once.

Cause: relays were in no budget. Each held two queued chunks, one before them, up to two in hyper on each side and two read buffers, about 170 kB a client.

Change: while the client's socket accepts nothing, a chunk waits for memory (bulk) before it is copied, and nothing more is read from the upstream. A client that has taken everything so far gets its chunk in any case, so a client that reads is not held back by others that do not; the relay learns this from the delivery on the client's connection.

--- a/balancer/src/body/response_body.rs
+++ b/balancer/src/body/response_body.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,15 +22,29 @@
     chunks: mpsc::Receiver<Bytes>,
     /// Bytes still to come, if the upstream stated a length.
     remaining: Option<u64>,
+    state: Rc<RelayState>,
+}
+
+/// Whether the client of a response takes it.
+pub trait ClientReception {
+    /// Whether the client's socket accepts no bytes now, although there are some to write.
+    fn is_blocked(&self) -> bool;
+}
+
+/// What the two ends of a relayed body share.
+#[derive(Default)]
+struct RelayState {
     /// Whether the upstream has sent all of the body.
-    is_complete: Rc<Cell<bool>>,
+    is_complete: Cell<bool>,
+    /// The client's end; `None` until the client's connection has taken the response.
+    reception: RefCell<Option<Rc<dyn ClientReception>>>,
 }
 
 /// Passes the chunks of a response on to its [`UpstreamBodyStream`]. The response is truncated if
 /// this is dropped before [`UpstreamBodySender::finish`].
 pub struct UpstreamBodySender {
     chunks: mpsc::Sender<Bytes>,
-    is_complete: Rc<Cell<bool>>,
+    state: Rc<RelayState>,
 }
 
 /// The client has disconnected, or has read nothing for too long.
@@ -47,9 +61,17 @@
         }
     }
 
+    /// Whether the client's socket has accepted all that the client's connection has taken.
+    pub fn is_client_receiving(&self) -> bool {
+        let reception = self.state.reception.borrow();
+        reception
+            .as_ref()
+            .is_some_and(|reception| !reception.is_blocked())
+    }
+
     /// Marks the body as complete.
     pub fn finish(self) {
-        self.is_complete.set(true);
+        self.state.is_complete.set(true);
     }
 }
 
@@ -57,27 +79,32 @@
 /// one.
 pub fn upstream_body_stream(length: Option<u64>) -> (UpstreamBodySender, UpstreamBodyStream) {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let is_complete = Rc::new(Cell::new(false));
+    let state = Rc::new(RelayState::default());
     let sender = UpstreamBodySender {
         chunks: sender,
-        is_complete: is_complete.clone(),
+        state: state.clone(),
     };
     let stream = UpstreamBodyStream {
         chunks: receiver,
         remaining: length,
-        is_complete,
+        state,
     };
     (sender, stream)
 }
 
 impl UpstreamBodyStream {
+    /// Sets the client's end.
+    fn set_reception(&self, reception: Rc<dyn ClientReception>) {
+        *self.state.reception.borrow_mut() = Some(reception);
+    }
+
     /// Polls for the next chunk.
     pub fn poll_chunk(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, TruncatedResponse>>> {
         let Some(chunk) = ready!(self.chunks.poll_recv(cx)) else {
-            return Poll::Ready(if self.is_complete.get() {
+            return Poll::Ready(if self.state.is_complete.get() {
                 None
             } else {
                 Some(Err(TruncatedResponse))
@@ -148,6 +175,13 @@
         }
     }
 
+    /// Sets the client's end of a body that is relayed.
+    pub fn set_reception(&self, reception: Rc<dyn ClientReception>) {
+        if let ClientBodyContent::Streamed(response) = &self.content {
+            response.stream.set_reception(reception);
+        }
+    }
+
     /// Holds the memory for the response's head until hyper has encoded it, which it does before it
     /// polls the body.
     pub fn hold_memory_for_head(&mut self, memory: Option<Reservation>) {
--- a/balancer/src/inbound/client_connection.rs
+++ b/balancer/src/inbound/client_connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client connection, which its task and its requests share.
 use crate::body::limits::BODY_STALL_TIMEOUT;
+use crate::body::response_body::ClientReception;
 use crate::body::time_limited_body::REQUEST_READ_TIMEOUT;
 use crate::inbound::idle_connections::{ConnectionKind, IdleConnections, IdleKey};
 use crate::inbound::request_tracker::RequestTracker;
@@ -76,6 +77,11 @@
         &self.delivery
     }
 
+    /// The client's end of the connection's responses.
+    pub fn reception(&self) -> Rc<dyn ClientReception> {
+        self.delivery.reception()
+    }
+
     /// The socket has accepted all that hyper had to write. The connection is idle if this completes
     /// its last response.
     pub fn record_flushed(&self) {
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -124,6 +124,7 @@
     let routed = route(context, request, &connection, head_arrived_at).await;
     let mut response = finish_response(context, &connection, routed);
     connection.delivery().begin_response();
+    response.body().set_reception(connection.reception());
     response.body_mut().hold(active);
     response
 }
--- a/balancer/src/inbound/response_delivery.rs
+++ b/balancer/src/inbound/response_delivery.rs
@@ -1,5 +1,6 @@
 //! How far the responses to clients are delivered. A response is delivered once the client's socket
 //! has accepted all of it, not when hyper has taken the last part of its body.
+use crate::body::response_body::ClientReception;
 use crate::body::upload::Upload;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -108,6 +109,12 @@
     }
 }
 
+impl ClientReception for ResponseDelivery {
+    fn is_blocked(&self) -> bool {
+        self.blocked_since.get().is_some()
+    }
+}
+
 /// The deliveries of all client connections.
 #[derive(Default)]
 pub struct ResponseDeliveries {
@@ -146,6 +153,13 @@
     delivery: Rc<ResponseDelivery>,
 }
 
+impl RegisteredDelivery {
+    /// The client's end of the responses that are delivered.
+    pub fn reception(&self) -> Rc<dyn ClientReception> {
+        self.delivery.clone()
+    }
+}
+
 impl Deref for RegisteredDelivery {
     type Target = ResponseDelivery;
 
--- a/balancer/src/outbound/attempt/reception.rs
+++ b/balancer/src/outbound/attempt/reception.rs
@@ -98,6 +98,7 @@
                     declares_large_body(declared_length),
                     self.progress.clone(),
                     self.request.clone(),
+                    &self.transport.memory,
                 );
                 relay.run(buffered).await?;
                 None
--- a/balancer/src/outbound/response_relay.rs
+++ b/balancer/src/outbound/response_relay.rs
@@ -2,6 +2,7 @@
 use crate::body::body_buffer::copy_of;
 use crate::body::limits::{BODY_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::body::response_body::UpstreamBodySender;
+use crate::memory::budget::{MemoryBudget, MemoryUse};
 use crate::outbound::message::OutboundRequest;
 use crate::outbound::response_outcome::outcome_of_read_error;
 use crate::outbound::response_progress::ResponseProgress;
@@ -39,6 +40,7 @@
     /// How steadily the upstream sends the body.
     progress: Rc<ResponseProgress>,
     request: Rc<OutboundRequest>,
+    memory: MemoryBudget,
 }
 
 /// When the next frame must have arrived, and the outcome of the attempt if it has not.
@@ -49,13 +51,14 @@
 
 impl Relay {
     /// Creates a relay from `body`, the response to `request`, to `sender`. `progress` is what has
-    /// arrived of it so far.
+    /// arrived of it so far, and `memory` limits what is queued for the client.
     pub fn new(
         sender: UpstreamBodySender,
         body: Incoming,
         declares_large_body: bool,
         progress: Rc<ResponseProgress>,
         request: Rc<OutboundRequest>,
+        memory: &MemoryBudget,
     ) -> Relay {
         Relay {
             sender,
@@ -64,6 +67,7 @@
             declares_large_body,
             progress,
             request,
+            memory: memory.clone(),
         }
     }
 
@@ -88,10 +92,24 @@
             if self.forwarded > MAX_BODY_BYTES {
                 return Err(AttemptOutcome::Error);
             }
+            self.wait_for_memory(data.len()).await?;
             self.send(copy_of(&data)).await?;
         }
     }
 
+    /// Waits until there is memory for a copy of the next chunk. Until then nothing more is read from
+    /// the upstream. A client that has taken everything so far gets the chunk in any case: it does not
+    /// stay in memory.
+    async fn wait_for_memory(&self, chunk_bytes: usize) -> Result<(), AttemptOutcome> {
+        let has_room = |memory: &MemoryBudget| {
+            self.sender.is_client_receiving() || memory.has_room(MemoryUse::Bulk, chunk_bytes)
+        };
+        let deadline = self.frame_deadline(Instant::now());
+        timeout_at(deadline.at, self.memory.wait_until(has_room))
+            .await
+            .map_err(|_| deadline.outcome)
+    }
+
     async fn send(&self, data: Bytes) -> Result<(), AttemptOutcome> {
         let limit = self.stall_limit(Instant::now() + BODY_STALL_TIMEOUT);
         self.sender
--- a/balancer/src/outbound/response_relay/tests.rs
+++ b/balancer/src/outbound/response_relay/tests.rs
@@ -1,7 +1,7 @@
 //! Time limits of relayed responses, over in-memory connections and virtual time.
 use super::*;
 use crate::body::response_body::{upstream_body_stream, UpstreamBodyStream};
-use crate::test_support::get_request;
+use crate::test_support::{get_request, unlimited_memory};
 use hyper::client::conn::http1;
 use hyper::Request;
 use hyper_util::rt::TokioIo;
@@ -60,7 +60,14 @@
     let start = Instant::now();
     let body = upstream_body(head, send).await;
     let (sender, stream) = upstream_body_stream(None);
-    let relay = Relay::new(sender, body, declares_large_body, Rc::default(), request);
+    let relay = Relay::new(
+        sender,
+        body,
+        declares_large_body,
+        Rc::default(),
+        request,
+        &unlimited_memory(),
+    );
     let (result, ()) = tokio::join!(relay.run(Bytes::new()), read_stream(stream));
     (result, start.elapsed())
 }
@@ -132,6 +139,7 @@
         true,
         Rc::default(),
         request_with_time(Some(pause + SECOND)),
+        &unlimited_memory(),
     );
     let client = async {
         sleep(pause).await;
@@ -167,6 +175,7 @@
         true,
         Rc::default(),
         request_with_time(Some(SECOND)),
+        &unlimited_memory(),
     );
     assert_eq!(
         relay.run(Bytes::new()).await,
--- a/balancer/tests/common/crowd.rs
+++ b/balancer/tests/common/crowd.rs
@@ -17,7 +17,7 @@
 /// Most header fields that hyper accepts, less those of an ordinary request.
 const MANY_FIELDS: usize = 92;
 /// Length of a large response.
-const LARGE_RESPONSE_BYTES: usize = 8 << 20;
+pub const LARGE_RESPONSE_BYTES: usize = 8 << 20;
 /// Length of a response that is buffered completely.
 const BUFFERED_RESPONSE_BYTES: usize = 60_000;
 /// Length of a piece that the upstream writes.
@@ -60,6 +60,11 @@
         .collect()
 }
 
+/// A request for a large response.
+pub fn large_response_request(id: &str) -> Vec<u8> {
+    get_with_fields(id, "/api/large", "")
+}
+
 fn get_with_fields(id: &str, path: &str, fields: &str) -> Vec<u8> {
     get_request(id, "15000m")
         .replacen("/api/x?y=1", path, 1)
