Reject the id of a request that may have run and whose client has left

What callers saw elsewhere: an id ran twice when it came again after its client had left.

Cause: an id was known only while its request or an attempt of it was open. Where attempts are cancelled when their client leaves, that ends at once, but a cancel stops nothing at the upstream.

The soak has crowds of slow clients and checks the memory of the balancer.

--- a/balancer/src/control/mod.rs
+++ b/balancer/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt_id;
 mod attempts;
+mod departed_requests;
 mod driver_options;
 mod driver_state;
 mod pending_requests;
--- a/balancer/src/control/pending_requests.rs
+++ b/balancer/src/control/pending_requests.rs
@@ -2,6 +2,7 @@
 use crate::body::request_body::RequestBody;
 use crate::clock::{from_millis, to_millis};
 use crate::control::attempt_id::AttemptId;
+use crate::control::departed_requests::DepartedRequests;
 use crate::invariants::{AttemptHistory, Guard};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::telemetry::guard_counts::Rule;
@@ -31,6 +32,8 @@
     history: AttemptHistory,
     /// Whether a response is being relayed to the client.
     is_relaying_response: bool,
+    /// Whether the client disconnected before it had a response.
+    has_client_left: bool,
 }
 
 impl PendingRequest {
@@ -45,6 +48,7 @@
             request: Rc::new(request),
             history: AttemptHistory::new(idempotency),
             is_relaying_response: false,
+            has_client_left: false,
         }
     }
 
@@ -144,7 +148,10 @@
         };
         match response_sender.send(response) {
             Ok(()) => Delivery::Delivered,
-            Err(_) => Delivery::ClientDisconnected,
+            Err(_) => {
+                self.has_client_left = true;
+                Delivery::ClientDisconnected
+            }
         }
     }
 
@@ -158,7 +165,9 @@
 
     /// The client has disconnected. Returns whether it still waited for a response.
     pub fn client_disconnected(&mut self) -> bool {
-        self.end().is_some()
+        let was_waiting = self.end().is_some();
+        self.has_client_left |= was_waiting;
+        was_waiting
     }
 
     /// Marks the request as ended, so that no attempt writes it any more. Returns the sender of its final response if
@@ -168,6 +177,11 @@
         self.response_sender.take()
     }
 
+    /// Whether the request must not run again, although its client may not know that it has run.
+    fn is_departed(&self) -> bool {
+        self.has_client_left && !self.history.may_reject()
+    }
+
     fn is_finished(&self) -> bool {
         self.has_ended() && self.history.in_flight() == 0
     }
@@ -179,6 +193,7 @@
     next_id: u32,
     by_id: HashMap<RequestId, PendingRequest>,
     client_request_ids: HashSet<HeaderValue>,
+    departed: DepartedRequests,
 }
 
 impl PendingRequests {
@@ -189,11 +204,12 @@
             next_id: 0,
             by_id: HashMap::new(),
             client_request_ids: HashSet::new(),
+            departed: DepartedRequests::default(),
         }
     }
 
     /// Adds a request. Fails if the table is full, or the id that the client chose for the request is already
-    /// in use.
+    /// in use, or belongs to a request that may have run and must not run again.
     pub fn insert(&mut self, pending: PendingRequest) -> Result<RequestId, SubmitError> {
         if self.by_id.len() >= self.max_requests {
             return Err(SubmitError::AtCapacity);
@@ -201,6 +217,9 @@
         // Upstreams recognize repeats of a request by the id that the client chose for it. No other request may use
         // this id while an attempt with it may be in flight.
         if let Some(client_request_id) = &pending.request.request_id {
+            if self.departed.contains(client_request_id) {
+                return Err(SubmitError::MayHaveRun);
+            }
             if !self.client_request_ids.insert(client_request_id.clone()) {
                 return Err(SubmitError::DuplicateRequestId);
             }
@@ -255,16 +274,20 @@
         failed
     }
 
-    /// Removes a request that has ended and has no attempt in flight. The id that its client chose may be used again.
+    /// Removes a request that has ended and has no attempt in flight. The id that its client chose may be used again,
+    /// unless the request may have run and its client has left.
     pub fn remove_if_finished(&mut self, id: RequestId) {
         if !self.by_id.get(&id).is_some_and(PendingRequest::is_finished) {
             return;
         }
-        let removed = self.by_id.remove(&id);
-        if let Some(client_request_id) =
-            removed.and_then(|pending| pending.request.request_id.clone())
-        {
-            self.client_request_ids.remove(&client_request_id);
+        let Some(removed) = self.by_id.remove(&id) else {
+            return;
+        };
+        if let Some(client_request_id) = &removed.request.request_id {
+            self.client_request_ids.remove(client_request_id);
+            if removed.is_departed() {
+                self.departed.insert(client_request_id);
+            }
         }
     }
 }
--- a/balancer/src/hollow.rs
+++ b/balancer/src/hollow.rs
@@ -121,9 +121,9 @@
             .submit(class, tenant, empty_request(client_timeout));
         let response = match submitted {
             Ok(response) => response.response().await,
-            Err(SubmitError::AtCapacity | SubmitError::DuplicateRequestId) => {
-                return RequestOutcome::Rejected
-            }
+            Err(
+                SubmitError::AtCapacity | SubmitError::DuplicateRequestId | SubmitError::MayHaveRun,
+            ) => return RequestOutcome::Rejected,
         };
         match response {
             FinalResponse::Served { .. } => RequestOutcome::Served,
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -74,7 +74,7 @@
                 input_error_response(StatusCode::BAD_REQUEST, &text)
             }
             RequestError::Body(error) => input_error_response(error.status(), &text),
-            RequestError::Submit(SubmitError::DuplicateRequestId) => {
+            RequestError::Submit(SubmitError::DuplicateRequestId | SubmitError::MayHaveRun) => {
                 input_error_response(StatusCode::CONFLICT, &text)
             }
             RequestError::Submit(SubmitError::AtCapacity) | RequestError::MemoryExhausted(_) => {
--- a/balancer/src/invariants.rs
+++ b/balancer/src/invariants.rs
@@ -90,7 +90,7 @@
 
     /// Whether the request may be rejected: for a request that is not idempotent, a rejection promises that it has not
     /// run.
-    fn may_reject(&self) -> bool {
+    pub fn may_reject(&self) -> bool {
         self.idempotency != Idempotency::NonIdempotent || self.first_run_at.is_none()
     }
 }
--- a/balancer/src/outbound/message.rs
+++ b/balancer/src/outbound/message.rs
@@ -129,4 +129,7 @@
     /// A request with the same id is in progress.
     #[error("a request with this Req-Id is already in progress")]
     DuplicateRequestId,
+    /// A request with the same id may have run and must not run again. Its client has left.
+    #[error("the request with this Req-Id may have run, and its client has left")]
+    MayHaveRun,
 }
--- a/balancer/tests/common/listeners.rs
+++ b/balancer/tests/common/listeners.rs
@@ -1,14 +1,19 @@
 //! Addresses to which connections fail, and connections with unusual sockets.
 use super::with_read_timeout;
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-/// An address that refuses connections.
+/// An address that refuses connections. A socket that does not listen keeps it until the test program
+/// ends, so that no listener of another test gets it.
 pub fn refusing_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("an address")
+    let socket = tcp_socket();
+    socket
+        .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+        .expect("binds");
+    let address = socket.local_addr().expect("an address");
+    std::mem::forget(socket);
+    address.as_socket().expect("an address")
 }
 
 /// A listener with a full accept queue: connections to it do not open.
--- a/balancer/tests/floods.rs
+++ b/balancer/tests/floods.rs
@@ -109,7 +109,7 @@
             let Ok(mut stream) = TcpStream::connect(address) else {
                 continue;
             };
-            stream.set_nonblocking(true).expect("sets O_NONBLOCK");
+            prepare_for_pieces(&stream);
             let mut unwritten = self.start(connection).into_bytes();
             while !is_over.load(Ordering::SeqCst) {
                 while unwritten.len() < BATCH_BYTES {
--- a/soak/src/balancer.rs
+++ b/soak/src/balancer.rs
@@ -261,6 +261,16 @@
         }
     }
 
+    /// The anonymous memory of its process, in kB; none without a process.
+    pub fn anonymous_memory_kb(&self) -> Option<usize> {
+        let process_id = self.child.as_ref().and_then(Child::id)?;
+        let status = fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
+        let value = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))?;
+        value.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     /// Whether it has a process.
     pub fn has_process(&self) -> bool {
         self.child.is_some()
--- a/soak/src/balancer/configuration.rs
+++ b/soak/src/balancer/configuration.rs
@@ -1,7 +1,7 @@
 //! The configuration file of a balancer.
 use crate::discovery_mode::DiscoveryMode;
 use crate::ids::BalancerId;
-use crate::limits::{Limits, MAX_ATTEMPTS};
+use crate::limits::{Limits, MAX_ATTEMPTS, MEMORY_LIMIT_MB};
 use crate::request_class::{RequestClass, REQUEST_CLASSES};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -57,7 +57,7 @@
         "discovery": addresses.discovery,
         "ops": addresses.admin,
         "seed": format!("{:016x}", balancer.0 as u64 + 1),
-        "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 512 },
+        "limits": { "cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 512 },
         "known": startup_list,
         "settings": settings(fleet, balancer),
     })
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -57,6 +57,8 @@
     FailingLog,
     /// The first calls that create a balancer's own descriptors fail while it starts.
     FailingStart,
+    /// A crowd of clients sends heads of many fields and bodies slowly, and completes none of them.
+    SlowClients,
 }
 
 impl Fault {
@@ -96,9 +98,15 @@
         Fault::FailingStart,
     ];
 
+    /// Crowds of clients that hold memory. A seed draws them last.
+    pub const CROWDS: [Fault; 1] = [Fault::SlowClients];
+
     /// All kinds.
     pub fn all() -> impl Iterator<Item = Fault> {
-        Fault::GENERAL.into_iter().chain(Fault::OWN_DESCRIPTORS)
+        Fault::GENERAL
+            .into_iter()
+            .chain(Fault::OWN_DESCRIPTORS)
+            .chain(Fault::CROWDS)
     }
 
     /// The name for `--only`, `--without` and the report. It stays even where it differs from the variant's name, as
@@ -131,6 +139,7 @@
             Fault::Registrations => "registrations",
             Fault::FailingLog => "failinglog",
             Fault::FailingStart => "failingstart",
+            Fault::SlowClients => "slowcrowd",
         }
     }
 }
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -1,6 +1,7 @@
 //! Injects the faults of a plan. Each submodule injects the faults of one part of the testbed.
 mod balancers;
 mod clients;
+mod crowds;
 mod discovery;
 mod failing_calls;
 mod overrides;
@@ -68,6 +69,7 @@
             Fault::Registrations => self.fail_system_calls(&REGISTRATION_FAILURES).await,
             Fault::FailingLog => self.fail_system_calls(&LOG_FAILURES).await,
             Fault::FailingStart => self.fail_start().await,
+            Fault::SlowClients => self.crowd_with_slow_clients().await,
         }
     }
 
--- a/soak/src/limits.rs
+++ b/soak/src/limits.rs
@@ -12,6 +12,8 @@
 /// Time after the start of an attempt within which the upstream of the previous attempt may still observe the end of
 /// that previous attempt.
 pub const OVERLAP_SLACK: Duration = Duration::from_millis(100);
+/// Memory that a balancer may use, in megabytes. The balancers' settings contain the same number.
+pub const MEMORY_LIMIT_MB: usize = 32;
 /// Maximum number of attempts for one request. The balancers' settings contain the same number.
 pub const MAX_ATTEMPTS: usize = 5;
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -9,6 +9,8 @@
 const FAULT_COUNT: Range<usize> = 5..10;
 /// Number of additional faults of balancers' own descriptors in a run of intensity 1.
 const OWN_DESCRIPTOR_FAULT_COUNT: Range<usize> = 1..3;
+/// Number of crowds of clients in a run of intensity 1.
+const CROWD_COUNT: Range<usize> = 0..2;
 /// When faults start, as fractions of the run's length.
 const START_FRACTION: Range<f64> = 0.05..0.6;
 /// How long faults last, as fractions of the run's length.
@@ -60,8 +62,9 @@
             }
         };
         draw(&Fault::GENERAL, FAULT_COUNT);
-        // Drawn after the general faults, so that a seed still draws the same general faults.
+        // Drawn after the general faults, so that a seed still draws the same general faults, and crowds last.
         draw(&Fault::OWN_DESCRIPTORS, OWN_DESCRIPTOR_FAULT_COUNT);
+        draw(&Fault::CROWDS, CROWD_COUNT);
     } else {
         for &fault in only.iter().cycle().take(only.len() * (intensity + 1)) {
             planned.push(PlannedFault::draw(&mut random, fault, run_length));
--- a/soak/src/plan/tests.rs
+++ b/soak/src/plan/tests.rs
@@ -42,6 +42,13 @@
     }
 }
 
+#[test]
+fn some_runs_have_a_crowd() {
+    let has_crowd = |seed: &u64| draw_kinds(*seed, &[], 2).contains(&Fault::SlowClients);
+    let count = (0..50).filter(has_crowd).count();
+    assert!((10..40).contains(&count), "{count} of 50");
+}
+
 #[test]
 fn faults_start_in_the_order_of_the_plan() {
     for seed in 0..50 {
--- a/soak/src/rules.rs
+++ b/soak/src/rules.rs
@@ -29,6 +29,8 @@
     Crash,
     /// A balancer is ready in time.
     NotReady,
+    /// A balancer does not use more memory than its configuration allows.
+    MemoryLimit,
     /// A balancer counts no violation of its own invariants.
     SelfCheck,
 }
