Share the memory limit as soon as another process serves

An old process kept its whole memory limit until half of its descriptors were free, which a crowd can delay for as long as it stays. The limit is shared now from the moment at which the successor is known.

--- a/balancer/src/net/descriptor_budget.rs
+++ b/balancer/src/net/descriptor_budget.rs
@@ -1,5 +1,5 @@
 //! The process's budget of file descriptors, which connections to clients and upstreams share.
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,6 +31,9 @@
     max_clients: u32,
     /// Permits that are yielded to another process of this balancer.
     yielded: Rc<RefCell<Vec<OwnedSemaphorePermit>>>,
+    /// Whether another process of this balancer has half of the limits. Its permits may still be
+    /// awaited.
+    is_shared: Rc<Cell<bool>>,
 }
 
 /// A client connection's share of the budget; released when dropped.
@@ -54,12 +57,14 @@
             max_connections,
             max_clients,
             yielded: Rc::default(),
+            is_shared: Rc::default(),
         }
     }
 
     /// Yields half of the budget to another process of this balancer: free permits at once, the
     /// others when they are released.
     pub async fn yield_half(&self) {
+        self.is_shared.set(true);
         let clients = self
             .clients
             .clone()
@@ -78,6 +83,7 @@
 
     /// Takes back the yielded half, after the other process has ended.
     pub fn reclaim(&self) {
+        self.is_shared.set(false);
         self.yielded.borrow_mut().clear();
     }
 
@@ -113,7 +119,8 @@
 
     /// How many connections are open in this process.
     pub fn open_connections(&self) -> usize {
-        let yielded = if self.is_shared() {
+        let has_yielded = !self.yielded.borrow().is_empty();
+        let yielded = if has_yielded {
             self.max_connections / 2
         } else {
             0
@@ -122,9 +129,9 @@
         ((self.max_connections - yielded) as usize).saturating_sub(free)
     }
 
-    /// Whether half of the budget is yielded to another process.
+    /// Whether another process has half of the limits of this balancer.
     pub fn is_shared(&self) -> bool {
-        !self.yielded.borrow().is_empty()
+        self.is_shared.get()
     }
 
     /// Whether no permit is free.
--- a/balancer/src/net/descriptor_budget/tests.rs
+++ b/balancer/src/net/descriptor_budget/tests.rs
@@ -17,6 +17,7 @@
     assert_eq!(upstreams.len(), 5);
     drop(upstreams);
     budget.reclaim();
+    assert!(!budget.is_shared());
     // Permits that are in use when half of the budget is yielded become part of the yielded half
     // when they are released.
     let further_clients = acquire_all_clients(&budget);
@@ -27,6 +28,10 @@
             .await
             .is_err()
     );
+    assert!(
+        budget.is_shared(),
+        "the limits are shared although connections are open"
+    );
     drop(clients);
     yielding.await;
     assert!(budget.try_acquire_client().is_none());
--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// The id of its process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The number of its open descriptors.
     pub fn descriptor_count(&self) -> usize {
         let path = format!("/proc/{}/fd", self.child.id());
--- a/balancer/tests/common/memory.rs
+++ b/balancer/tests/common/memory.rs
@@ -29,13 +29,20 @@
 impl MemorySampler {
     /// Starts to sample the process with this id.
     pub fn start(pid: u32) -> MemorySampler {
+        MemorySampler::start_sum(&[pid])
+    }
+
+    /// Starts to sample what the processes with these ids use together.
+    pub fn start_sum(pids: &[u32]) -> MemorySampler {
+        let pids = pids.to_vec();
         let is_stopped = Arc::new(AtomicBool::new(false));
         let peak_kb = Arc::new(AtomicUsize::new(0));
         let thread = {
             let (is_stopped, peak_kb) = (is_stopped.clone(), peak_kb.clone());
             thread::spawn(move || {
                 while !is_stopped.load(Ordering::SeqCst) {
-                    peak_kb.fetch_max(memory_kb(pid, "RssAnon"), Ordering::SeqCst);
+                    let used_kb = pids.iter().map(|&pid| memory_kb(pid, "RssAnon")).sum();
+                    peak_kb.fetch_max(used_kb, Ordering::SeqCst);
                     thread::sleep(SAMPLE_INTERVAL);
                 }
             })
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -4,6 +4,7 @@
 use common::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::sync::Mutex;
 use std::thread::sleep;
@@ -75,14 +76,16 @@
     );
 }
 
-/// Clients that have written the heads of requests with this body.
+/// Clients that have written the heads of requests with this body, each with an id of its own.
 fn connect_uploading_clients(
     balancer: &BalancerProcess,
     count: usize,
     body: &WireBody,
 ) -> Vec<TcpStream> {
+    static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
     let mut clients = connect_piecewise(balancer.address, count);
-    for (id, client) in clients.iter_mut().enumerate() {
+    for client in &mut clients {
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let head = upload_head(&id.to_string(), &body.header);
         assert_eq!(client.write(head.as_bytes()).ok(), Some(head.len()));
     }
--- a/balancer/tests/memory_crowds.rs
+++ b/balancer/tests/memory_crowds.rs
@@ -4,6 +4,8 @@
 
 use common::*;
 use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, sleep};
@@ -58,6 +60,28 @@
     BalancerProcess::run(balancer_command(&with_admin_endpoint(&config)), discovery)
 }
 
+/// A process in this folder of state, beside `predecessor` if there is one.
+fn start_process(
+    limits: Limits,
+    folder: &Path,
+    predecessor: Option<&BalancerProcess>,
+    upstream: SocketAddr,
+) -> BalancerProcess {
+    let discovery = StubDiscovery::start();
+    let endpoints = active_endpoints(&[upstream]);
+    discovery.respond(&endpoints);
+    let config = balancer_config(discovery.address, limits.sockets, &endpoints);
+    let limit = format!("\"memory_mb\":{}", limits.memory_mb);
+    let mut config = with_admin_endpoint(&config.replacen("\"memory_mb\":192", &limit, 1));
+    if let Some(predecessor) = predecessor {
+        let address = format!("\"listen\":\"{}\"", predecessor.address);
+        config = config.replacen("\"listen\":\"127.0.0.1:0\"", &address, 1);
+    }
+    let mut command = balancer_command(&config);
+    command.env("TMPDIR", folder);
+    BalancerProcess::run(command, discovery)
+}
+
 fn expect_within_limit(limits: Limits, sampler: MemorySampler, play: &str) {
     let peak_kb = sampler.stop();
     println!("{play}: {peak_kb} kB, {limits:?}");
@@ -154,6 +178,62 @@
     assert!(crowd.join().is_ok());
 }
 
+/// Guards against a final response that comes seconds late, because a large request waits for memory
+/// that others hold, or for its upstream, which reads nothing.
+#[test]
+fn large_request_is_answered_in_time_beside_a_crowd() {
+    let limits = TIGHTEST_LIMITS;
+    let balancer = start_balancer(limits);
+    let mut crowd = Crowd::new(balancer.address);
+    crowd.grow_to(limits.sockets / 3, || CrowdClient::StoppedUpload);
+    let crowd = thread::spawn(move || crowd.play(PLAY_TIME * 3 / 2, 9000));
+    sleep(PLAY_TIME / 2);
+    let time = format!("{}m", ORDINARY_TIME.as_millis());
+    for number in 0..4 {
+        let head = upload_head(&format!("large-{number}"), "Content-Length: 300000");
+        let mut request = head.replace("15000m", &time).into_bytes();
+        request.resize(request.len() + 300_000, b'x');
+        let mut client = connect(balancer.address);
+        // The balancer may reject the request before it has read all of it.
+        let _ = client.get_mut().write_all(&request);
+        let received = receive(client, Instant::now());
+        assert!(
+            received.is_complete && received.ended_after < ORDINARY_TIME + ANSWER_GRACE,
+            "{:?} after {:?}",
+            received.head,
+            received.ended_after
+        );
+        assert!(
+            received.head.starts_with("HTTP/1.1 50"),
+            "{}",
+            received.head
+        );
+    }
+    assert!(crowd.join().is_ok());
+}
+
+/// Guards against two processes of an upgrade that together exceed the limit, which they share.
+#[test]
+fn crowd_at_an_upgrade_stays_within_the_memory_limit() {
+    let limits = TIGHTEST_LIMITS;
+    let folder = state_folder("crowd-upgrade");
+    let upstream = start_crowd_upstream();
+    let old = start_process(limits, &folder, None, upstream);
+    let mut random = Random(7);
+    let mut crowd = Crowd::new(old.address);
+    crowd.grow_to(limits.sockets / 2, || random.crowd_client());
+    crowd.play(PLAY_TIME / 2, 9000);
+    let new = start_process(limits, &folder, Some(&old), upstream);
+    let sampler = MemorySampler::start_sum(&[old.process_id(), new.process_id()]);
+    old.terminate();
+    for _ in 0..10 {
+        crowd.shrink_to(crowd.len() * 3 / 4);
+        crowd.grow_to(limits.sockets / 2, || random.crowd_client());
+        crowd.play(WAVE_TIME, 9000);
+    }
+    expect_within_limit(limits, sampler, "an upgrade");
+}
+
 /// Pseudo-random numbers that are the same in each run.
 struct Random(u64);
 
