--- a/balancer/src/body/body_buffer.rs
+++ b/balancer/src/body/body_buffer.rs
@@ -6,6 +6,7 @@
 //! are copied into memory of their own size.
 use crate::body::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::memory::budget::{MemoryBudget, MemoryExhausted, MemoryUse};
+use crate::memory::report::MemoryRefusal;
 use bytes::Bytes;
 
 /// Most bytes of one chunk that [`BodyBuffer::chunk_at`] copies out.
@@ -83,6 +84,11 @@
         self.bytes.extend_from_slice(chunk);
     }
 
+    /// Counts that the buffer ends early, because too little memory is left.
+    pub fn record_refused(&self) {
+        self.memory.record_refused(MemoryRefusal::BodyCopy);
+    }
+
     /// Appends a copy of the last `chunk` of this buffer, for which no memory could be reserved.
     pub fn append_beyond_budget(&mut self, chunk: &[u8]) {
         self.bytes.reserve_exact(chunk.len());
--- a/balancer/src/body/upload.rs
+++ b/balancer/src/body/upload.rs
@@ -119,8 +119,11 @@
         let Some(buffered) = &mut self.buffered else {
             return false;
         };
-        if fits && buffered.append(chunk).is_ok() {
-            return false;
+        if fits {
+            if buffered.append(chunk).is_ok() {
+                return false;
+            }
+            buffered.record_refused();
         }
         self.buffered = None;
         true
--- a/balancer/src/inbound/mod.rs
+++ b/balancer/src/inbound/mod.rs
@@ -3,6 +3,7 @@
 mod client_connection;
 mod connection_task;
 mod context;
+mod forwarded_head;
 mod idle_connections;
 mod request_framing;
 mod request_handler;
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -11,6 +11,7 @@
 use crate::control::driver::ResponseFuture;
 use crate::inbound::client_connection::{ActiveRequestGuard, ClientConnection};
 use crate::inbound::context::ServerContext;
+use crate::inbound::forwarded_head::ForwardedHead;
 use crate::inbound::request_framing::AmbiguousFraming;
 use crate::inbound::request_head::{HeadError, RequestHead};
 use crate::inbound::responses::{
@@ -18,22 +19,14 @@
 };
 use crate::memory::budget::{MemoryBudget, MemoryExhausted};
 use crate::memory::report::MemoryRefusal;
-use crate::net::peer::Peer;
-use crate::outbound::compact_headers::CompactHeaders;
-use crate::outbound::headers::{end_to_end_headers, DEADLINE_HEADER};
-use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
+use crate::outbound::message::{FinalResponse, SubmitError};
 use crate::phase::Phase;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
 use balancer_core::Millis;
-use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
-use hyper::http::request;
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, StatusCode, Uri};
-use std::cell::Cell;
+use hyper::{Method, Request, StatusCode};
 use std::rc::Rc;
-use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -275,7 +268,7 @@
         RequestBody::Streamed(upload) => Some(upload.clone()),
         RequestBody::Buffered(_) => None,
     };
-    let outbound = outbound_request(forwarded, body, connection.stream().peer(), client_timeout);
+    let outbound = forwarded.into_request(body, connection.stream().peer(), client_timeout);
     // The client may have disconnected while its connection waited for a permit or in the
     // listener's queue. Nothing has been sent to an upstream yet, so the request can be rejected.
     if connection.stream().peer_disconnected() {
@@ -328,57 +321,3 @@
         memory,
     )))
 }
-
-/// What is kept of the head of a request until the request ends. It shares no memory with the buffer
-/// that the head was read into.
-struct ForwardedHead {
-    request_id: Option<HeaderValue>,
-    method: Method,
-    target: Uri,
-    headers: CompactHeaders,
-}
-
-impl From<request::Parts> for ForwardedHead {
-    fn from(parts: request::Parts) -> ForwardedHead {
-        let mut headers = parts.headers;
-        headers.remove(&DEADLINE_HEADER);
-        ForwardedHead {
-            request_id: headers.get("req-id").and_then(copy_of_value),
-            method: parts.method,
-            target: copy_of_target(&parts.uri),
-            headers: end_to_end_headers(headers),
-        }
-    }
-}
-
-fn copy_of_value(value: &HeaderValue) -> Option<HeaderValue> {
-    HeaderValue::from_bytes(value.as_bytes()).ok()
-}
-
-/// Path and query of a request.
-fn copy_of_target(uri: &Uri) -> Uri {
-    uri.path_and_query()
-        .map(|target| Bytes::copy_from_slice(target.as_str().as_bytes()))
-        .and_then(|target| PathAndQuery::from_maybe_shared(target).ok())
-        .map(Uri::from)
-        .unwrap_or_default()
-}
-
-fn outbound_request(
-    head: ForwardedHead,
-    body: RequestBody,
-    client: Peer,
-    client_timeout: Duration,
-) -> OutboundRequest {
-    OutboundRequest {
-        request_id: head.request_id,
-        method: head.method,
-        target: head.target,
-        headers: head.headers,
-        body,
-        client_timeout,
-        deadline: Cell::new(None),
-        ended: Cell::new(false),
-        client: Some(client),
-    }
-}
--- a/balancer/src/outbound/response_buffer.rs
+++ b/balancer/src/outbound/response_buffer.rs
@@ -117,6 +117,7 @@
             };
             self.progress.record_data(data.len());
             if self.append(data).await.is_err() {
+                self.buffer.record_refused();
                 self.buffer.append_beyond_budget(data);
                 break;
             }
--- a/balancer/tests/common/balancer_process.rs
+++ b/balancer/tests/common/balancer_process.rs
@@ -115,7 +115,17 @@
         let endpoints = active_endpoints(upstreams);
         discovery.respond(&endpoints);
         let config = balancer_config(discovery.address, 1024, &endpoints);
-        let mut config = with_admin_endpoint(&config);
+        BalancerProcess::beside(folder, predecessor, &config, discovery)
+    }
+
+    /// The same with this configuration, to which the admin endpoint and the address are added.
+    pub fn beside(
+        folder: &Path,
+        predecessor: Option<&BalancerProcess>,
+        config: &str,
+        discovery: StubDiscovery,
+    ) -> BalancerProcess {
+        let mut config = with_admin_endpoint(config);
         if let Some(predecessor) = predecessor {
             let address = format!("\"listen\":\"{}\"", predecessor.address);
             config = config.replacen("\"listen\":\"127.0.0.1:0\"", &address, 1);
--- a/balancer/tests/memory_crowds.rs
+++ b/balancer/tests/memory_crowds.rs
@@ -5,7 +5,6 @@
 use common::*;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, sleep};
@@ -51,35 +50,20 @@
 /// Within this time after a crowd has left its memory is returned.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
-fn start_balancer(limits: Limits) -> BalancerProcess {
-    let discovery = StubDiscovery::start();
-    let upstreams = active_endpoints(&[start_crowd_upstream()]);
-    let config = balancer_config(discovery.address, limits.sockets, &upstreams);
-    let limit = format!("\"memory_mb\":{}", limits.memory_mb);
-    let config = config.replacen("\"memory_mb\":192", &limit, 1);
-    BalancerProcess::run(balancer_command(&with_admin_endpoint(&config)), discovery)
-}
-
-/// A process in this folder of state, beside `predecessor` if there is one.
-fn start_process(
-    limits: Limits,
-    folder: &Path,
-    predecessor: Option<&BalancerProcess>,
-    upstream: SocketAddr,
-) -> BalancerProcess {
+/// A configuration with these limits, and the discovery that it names.
+fn configure(limits: Limits, upstream: SocketAddr) -> (String, StubDiscovery) {
     let discovery = StubDiscovery::start();
     let endpoints = active_endpoints(&[upstream]);
     discovery.respond(&endpoints);
     let config = balancer_config(discovery.address, limits.sockets, &endpoints);
     let limit = format!("\"memory_mb\":{}", limits.memory_mb);
-    let mut config = with_admin_endpoint(&config.replacen("\"memory_mb\":192", &limit, 1));
-    if let Some(predecessor) = predecessor {
-        let address = format!("\"listen\":\"{}\"", predecessor.address);
-        config = config.replacen("\"listen\":\"127.0.0.1:0\"", &address, 1);
-    }
-    let mut command = balancer_command(&config);
-    command.env("TMPDIR", folder);
-    BalancerProcess::run(command, discovery)
+    let config = config.replacen("\"memory_mb\":192", &limit, 1);
+    (config, discovery)
+}
+
+fn start_balancer(limits: Limits) -> BalancerProcess {
+    let (config, discovery) = configure(limits, start_crowd_upstream());
+    BalancerProcess::run(balancer_command(&with_admin_endpoint(&config)), discovery)
 }
 
 fn expect_within_limit(limits: Limits, sampler: MemorySampler, play: &str) {
@@ -218,12 +202,14 @@
     let limits = TIGHTEST_LIMITS;
     let folder = state_folder("crowd-upgrade");
     let upstream = start_crowd_upstream();
-    let old = start_process(limits, &folder, None, upstream);
+    let (config, discovery) = configure(limits, upstream);
+    let old = BalancerProcess::beside(&folder, None, &config, discovery);
     let mut random = Random(7);
     let mut crowd = Crowd::new(old.address);
     crowd.grow_to(limits.sockets / 2, || random.crowd_client());
     crowd.play(PLAY_TIME / 2, 9000);
-    let new = start_process(limits, &folder, Some(&old), upstream);
+    let (config, discovery) = configure(limits, upstream);
+    let new = BalancerProcess::beside(&folder, Some(&old), &config, discovery);
     let sampler = MemorySampler::start_sum(&[old.process_id(), new.process_id()]);
     old.terminate();
     for _ in 0..10 {
