Claim requests that must not run twice while two processes serve

What callers saw elsewhere: an id ran twice when it came again at the other process of an upgrade.

Cause: each process knows its own requests only.

Change: while another process serves, a request that must not run twice is claimed in a file of TMPDIR before it is sent. The old process claims what it has in flight when it learns of its successor, at SIGTERM at the latest; the successor waits for that, 0.5 s at most. The last process takes over the other's claims. If the disk fails, requests are sent without a claim.

A yield that is no longer wanted ends now.

--- a/balancer/src/admin/process_coordinator.rs
+++ b/balancer/src/admin/process_coordinator.rs
@@ -2,7 +2,9 @@
 use crate::admin::override_error::OverrideChangeError;
 use crate::admin::override_store::ProcessLock;
 use crate::admin::override_sync::OverrideSync;
+use crate::admin::shared_claims::SharedClaims;
 use crate::control::driver::DriverHandle;
+use crate::control::request_claims::RequestClaims;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::phase::Phase;
 use crate::telemetry::log::log_line;
@@ -35,6 +37,7 @@
     descriptors: DescriptorBudget,
     phase: Rc<watch::Sender<Phase>>,
     overrides: Rc<OverrideSync>,
+    claims: Rc<SharedClaims>,
     /// How long this process waits for its first endpoint list if another process is serving.
     endpoint_list_timeout: Duration,
     /// This process's number among those of this balancer; zero until it is registered.
@@ -43,6 +46,8 @@
     process_lock: RefCell<Option<ProcessLock>>,
     /// Whether this process has left half of its descriptors to a successor.
     has_yielded_descriptors: Cell<bool>,
+    /// Whether a successor knows what this process has in flight.
+    has_published_claims: Cell<bool>,
     /// Whether this process may hold the process lock: true until it starts to drain without a successor.
     may_hold_process_lock: Cell<bool>,
 }
@@ -54,6 +59,7 @@
         descriptors: DescriptorBudget,
         phase: Rc<watch::Sender<Phase>>,
         overrides: Rc<OverrideSync>,
+        claims: Rc<SharedClaims>,
         endpoint_list_timeout: Duration,
     ) -> Rc<ProcessCoordinator> {
         Rc::new(ProcessCoordinator {
@@ -61,14 +67,21 @@
             descriptors,
             phase,
             overrides,
+            claims,
             endpoint_list_timeout,
             process_number: Cell::new(0),
             process_lock: RefCell::default(),
             has_yielded_descriptors: Cell::new(false),
+            has_published_claims: Cell::new(false),
             may_hold_process_lock: Cell::new(true),
         })
     }
 
+    /// The claims of requests that no other process may run.
+    pub fn claims(&self) -> Rc<dyn RequestClaims> {
+        self.claims.clone()
+    }
+
     /// Prepares for serving: applies the stored overrides. If another process is serving, leaves it half of the
     /// descriptors and waits for the first endpoint list. Returns once this process may listen.
     pub async fn prepare_to_serve(&self) {
@@ -80,6 +93,7 @@
             return;
         }
         log_line!("another process of this balancer is serving");
+        self.claims.begin_beside_predecessor();
         self.descriptors.yield_half().await;
         // If no list arrives within `endpoint_list_timeout`, the cached one is used.
         let _ = timeout(
@@ -114,7 +128,7 @@
             .is_err()
         {
             if matches!(self.try_lock_process().await, Ok(true)) {
-                self.descriptors.reclaim();
+                self.end_sharing().await;
                 return;
             }
         }
@@ -136,18 +150,28 @@
     }
 
     /// Whether another process of this balancer has started to serve after this one. A slow disk delays the answer by
-    /// at most [`SUCCESSOR_CHECK_TIMEOUT`].
+    /// at most [`SUCCESSOR_CHECK_TIMEOUT`]. The successor then knows what this process has in flight, which may end soon.
     pub async fn check_for_successor(&self) -> bool {
         let _ = timeout(SUCCESSOR_CHECK_TIMEOUT, self.overrides.refresh()).await;
+        self.prepare_successor().await;
         self.has_successor()
     }
 
+    /// Leaves half of the limits to a successor if there is one, and tells it what this process has in flight.
+    async fn prepare_successor(&self) {
+        if self.has_successor() {
+            self.yield_to_successor();
+            self.publish_claims().await;
+        }
+    }
+
     /// Counts this process among those of this balancer that serve.
     async fn register(&self) -> Result<(), OverrideChangeError> {
         self.overrides
             .change(|overrides| overrides.register_process())
             .await?;
         self.process_number.set(self.overrides.started_processes());
+        self.claims.record_registered(self.process_number.get());
         Ok(())
     }
 
@@ -172,14 +196,37 @@
             let holds_process_lock = self.process_lock.borrow().is_some();
             let may_lock = !holds_process_lock && self.may_hold_process_lock.get();
             if may_lock && matches!(self.try_lock_process().await, Ok(true)) {
-                self.descriptors.reclaim();
-            }
-            if !self.has_yielded_descriptors.get() && self.has_successor() {
-                self.has_yielded_descriptors.set(true);
-                let descriptors = self.descriptors.clone();
-                tokio::task::spawn_local(async move { descriptors.yield_half().await });
+                self.end_sharing().await;
             }
+            self.prepare_successor().await;
+        }
+    }
+
+    /// Leaves half of the limits to a successor.
+    fn yield_to_successor(&self) {
+        if self.has_yielded_descriptors.replace(true) {
+            return;
+        }
+        self.descriptors.begin_sharing();
+        let descriptors = self.descriptors.clone();
+        tokio::task::spawn_local(async move { descriptors.yield_half_while_shared().await });
+    }
+
+    /// Tells a successor which requests it must not run. Requests that are accepted from now on are claimed one by one.
+    async fn publish_claims(&self) {
+        if self.has_published_claims.get() {
+            return;
         }
+        let ids = self.driver.unrepeatable_requests();
+        let successor = self.overrides.started_processes();
+        let is_published = self.claims.publish(ids, successor).await;
+        self.has_published_claims.set(is_published);
+    }
+
+    /// No other process runs any more: takes over its claims and its half of the limits.
+    async fn end_sharing(&self) {
+        self.driver.remember_departed(self.claims.take_all().await);
+        self.descriptors.reclaim();
     }
 
     /// Takes the process lock unless another process holds it. Returns whether this process now holds it. Fails if the
--- a/balancer/src/control/departed_requests.rs
+++ b/balancer/src/control/departed_requests.rs
@@ -1,8 +1,6 @@
 //! Requests that may not run again although their client has left without a response.
-use hyper::header::HeaderValue;
-use std::collections::hash_map::RandomState;
+use crate::control::request_claims::RequestIdHash;
 use std::collections::{HashSet, VecDeque};
-use std::hash::BuildHasher;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -12,46 +10,42 @@
 const MAX_REQUESTS: usize = 16 << 10;
 
 /// The ids of requests that may have run, must not run twice, and whose clients have left. A client
-/// that comes back sends the id again.
-///
-/// Only hashes are kept, as ids may be long. If two ids have the same hash, a request is rejected that
-/// could have run.
+/// that comes back sends the id again. Only hashes are kept, as ids may be long.
 #[derive(Default)]
 pub struct DepartedRequests {
-    hasher: RandomState,
-    hashes: HashSet<u64>,
+    ids: HashSet<RequestIdHash>,
     /// The same in the order of their departure.
     departures: VecDeque<Departure>,
 }
 
 struct Departure {
     at: Instant,
-    hash: u64,
+    id: RequestIdHash,
 }
 
 impl DepartedRequests {
     /// Remembers the id of a request.
-    pub fn insert(&mut self, id: &HeaderValue) {
+    pub fn insert(&mut self, id: RequestIdHash) {
         let now = Instant::now();
         self.forget_old(now);
-        let hash = self.hash(id);
-        if !self.hashes.insert(hash) {
+        if !self.ids.insert(id) {
             return;
         }
-        self.departures.push_back(Departure { at: now, hash });
+        self.departures.push_back(Departure { at: now, id });
         if self.departures.len() > MAX_REQUESTS {
             self.forget_oldest();
         }
     }
 
     /// Whether a request with this id is remembered.
-    pub fn contains(&mut self, id: &HeaderValue) -> bool {
+    pub fn contains(&mut self, id: RequestIdHash) -> bool {
         self.forget_old(Instant::now());
-        self.hashes.contains(&self.hash(id))
+        self.ids.contains(&id)
     }
 
-    fn hash(&self, id: &HeaderValue) -> u64 {
-        self.hasher.hash_one(id.as_bytes())
+    /// All that are remembered.
+    pub fn iter(&self) -> impl Iterator<Item = RequestIdHash> + '_ {
+        self.ids.iter().copied()
     }
 
     fn forget_old(&mut self, now: Instant) {
@@ -65,7 +59,7 @@
 
     fn forget_oldest(&mut self) {
         if let Some(oldest) = self.departures.pop_front() {
-            self.hashes.remove(&oldest.hash);
+            self.ids.remove(&oldest.id);
         }
     }
 }
--- a/balancer/src/control/driver.rs
+++ b/balancer/src/control/driver.rs
@@ -3,6 +3,7 @@
 //! It passes events to the core in order and carries out its actions. It also keeps the core's clock, its timers, and
 //! the ids of requests and attempts. It makes no decisions itself.
 use crate::control::driver_state::DriverState;
+use crate::control::request_claims::RequestIdHash;
 use crate::discovery::endpoints::{upstream_id, EndpointUpdate};
 use crate::telemetry::metrics::Gauges;
 use balancer_core::{EndpointCounts, EndpointEvent, Event, Millis};
@@ -59,6 +60,16 @@
         self.0.state.borrow().active_requests()
     }
 
+    /// The requests that no other process of this balancer may run.
+    pub fn unrepeatable_requests(&self) -> Vec<RequestIdHash> {
+        self.0.state.borrow().unrepeatable_requests()
+    }
+
+    /// Remembers requests that another process of this balancer may have run.
+    pub fn remember_departed(&self, ids: Vec<RequestIdHash>) {
+        self.0.state.borrow_mut().remember_departed(ids);
+    }
+
     /// Limits the deadlines of all requests whose body is completed from now on. None is later than `within` from now.
     pub fn limit_deadlines(&self, within: Duration) {
         self.0.state.borrow_mut().limit_deadlines(within);
--- a/balancer/src/control/driver_state/requests.rs
+++ b/balancer/src/control/driver_state/requests.rs
@@ -3,6 +3,7 @@
 use crate::body::request_body::RequestBody;
 use crate::clock::to_millis;
 use crate::control::pending_requests::PendingRequest;
+use crate::control::request_claims::RequestIdHash;
 use crate::control::timers::TimerEvent;
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use balancer_core::{Idempotency, Millis, RequestId};
@@ -71,6 +72,18 @@
         self.pending.active()
     }
 
+    /// The requests that no other process may run; see [`PendingRequests::unrepeatable`].
+    ///
+    /// [`PendingRequests::unrepeatable`]: crate::control::pending_requests::PendingRequests::unrepeatable
+    pub fn unrepeatable_requests(&self) -> Vec<RequestIdHash> {
+        self.pending.unrepeatable()
+    }
+
+    /// Remembers requests that another process may have run.
+    pub fn remember_departed(&mut self, ids: Vec<RequestIdHash>) {
+        self.pending.remember_departed(ids);
+    }
+
     /// Limits the deadlines of all requests whose body is completed from now on. None is later than `within` from now.
     pub fn limit_deadlines(&mut self, within: Duration) {
         self.latest_deadline = Some(Instant::now() + within);
--- a/balancer/src/control/mod.rs
+++ b/balancer/src/control/mod.rs
@@ -1,5 +1,6 @@
 pub(crate) mod control_plane;
 pub(crate) mod driver;
+pub(crate) mod request_claims;
 
 mod attempt_id;
 mod attempts;
--- a/balancer/src/control/pending_requests.rs
+++ b/balancer/src/control/pending_requests.rs
@@ -3,6 +3,7 @@
 use crate::clock::{from_millis, to_millis};
 use crate::control::attempt_id::AttemptId;
 use crate::control::departed_requests::DepartedRequests;
+use crate::control::request_claims::RequestIdHash;
 use crate::invariants::{AttemptHistory, Guard};
 use crate::outbound::message::{FinalResponse, OutboundRequest, SubmitError};
 use crate::telemetry::guard_counts::Rule;
@@ -217,7 +218,7 @@
         // Upstreams recognize repeats of a request by the id that the client chose for it. No other request may use
         // this id while an attempt with it may be in flight.
         if let Some(client_request_id) = &pending.request.request_id {
-            if self.departed.contains(client_request_id) {
+            if self.departed.contains(RequestIdHash::of(client_request_id)) {
                 return Err(SubmitError::MayHaveRun);
             }
             if !self.client_request_ids.insert(client_request_id.clone()) {
@@ -274,6 +275,25 @@
         failed
     }
 
+    /// The requests that no other process may run: those that must not run twice and are pending, or may have run
+    /// before their clients left.
+    pub fn unrepeatable(&self) -> Vec<RequestIdHash> {
+        let pending = self
+            .by_id
+            .values()
+            .filter(|pending| pending.history.is_unrepeatable())
+            .filter_map(|pending| pending.request.request_id.as_ref())
+            .map(RequestIdHash::of);
+        pending.chain(self.departed.iter()).collect()
+    }
+
+    /// Remembers requests that another process may have run.
+    pub fn remember_departed(&mut self, ids: Vec<RequestIdHash>) {
+        for id in ids {
+            self.departed.insert(id);
+        }
+    }
+
     /// Removes a request that has ended and has no attempt in flight. The id that its client chose may be used again,
     /// unless the request may have run and its client has left.
     pub fn remove_if_finished(&mut self, id: RequestId) {
@@ -286,7 +306,7 @@
         if let Some(client_request_id) = &removed.request.request_id {
             self.client_request_ids.remove(client_request_id);
             if removed.is_departed() {
-                self.departed.insert(client_request_id);
+                self.departed.insert(RequestIdHash::of(client_request_id));
             }
         }
     }
--- a/balancer/src/inbound/context.rs
+++ b/balancer/src/inbound/context.rs
@@ -1,5 +1,6 @@
 //! The state that all client connections share.
 use crate::control::driver::DriverHandle;
+use crate::control::request_claims::RequestClaims;
 use crate::inbound::idle_connections::IdleConnections;
 use crate::inbound::response_delivery::ResponseDeliveries;
 use crate::invariants::Guard;
@@ -24,6 +25,8 @@
     pub memory: MemoryBudget,
     /// Counts requests and connections.
     pub metrics: Rc<Metrics>,
+    /// Claims requests while another process serves; `None` if there is never one.
+    pub claims: Option<Rc<dyn RequestClaims>>,
     /// Checks that requests get a response.
     pub guard: Guard,
     /// The phase of the process.
--- a/balancer/src/inbound/forwarded_head.rs
+++ b/balancer/src/inbound/forwarded_head.rs
@@ -48,6 +48,11 @@
 }
 
 impl ForwardedHead {
+    /// The client's id for the request.
+    pub fn request_id(&self) -> Option<&HeaderValue> {
+        self.request_id.as_ref()
+    }
+
     /// The request to forward with this body. Its client waits for `client_timeout`.
     pub fn into_request(
         self,
--- a/balancer/src/inbound/request_handler.rs
+++ b/balancer/src/inbound/request_handler.rs
@@ -9,6 +9,7 @@
 use crate::body::upload::Upload;
 use crate::clock::{from_millis, to_millis};
 use crate::control::driver::ResponseFuture;
+use crate::control::request_claims::RequestIdHash;
 use crate::inbound::client_connection::{ActiveRequestGuard, ClientConnection};
 use crate::inbound::context::ServerContext;
 use crate::inbound::forwarded_head::ForwardedHead;
@@ -22,7 +23,7 @@
 use crate::outbound::message::{FinalResponse, SubmitError};
 use crate::phase::Phase;
 use crate::telemetry::metrics::{InFlightRequest, RequestOutcome};
-use balancer_core::Millis;
+use balancer_core::{Idempotency, Millis};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -258,6 +259,7 @@
             .record_completed(head.class, RequestOutcome::Rejected);
     }
     let body = body?;
+    claim_if_unrepeatable(context, head.class, &forwarded).await?;
     // An upload counts the time since its request's end itself.
     let time_used_ms = match &body {
         RequestBody::Buffered(_) => to_millis(end.earliest().elapsed()),
@@ -287,6 +289,25 @@
     })
 }
 
+/// Claims a request that must not run twice, while another process of this balancer serves.
+async fn claim_if_unrepeatable(
+    context: &ServerContext,
+    class: usize,
+    head: &ForwardedHead,
+) -> Result<(), SubmitError> {
+    let idempotency = context.deployment.core.classes[class].idempotency;
+    let (Some(claims), Some(id)) = (&context.claims, head.request_id()) else {
+        return Ok(());
+    };
+    if idempotency != Idempotency::NonIdempotent || !claims.is_required() {
+        return Ok(());
+    }
+    if claims.claim(RequestIdHash::of(id)).await {
+        return Ok(());
+    }
+    Err(SubmitError::MayHaveRun)
+}
+
 fn check_body(method: &Method, body: &Incoming) -> Result<(), RequestError> {
     if body.size_hint().lower() > MAX_BODY_BYTES {
         return Err(BodyError::TooLarge.into());
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -1,6 +1,7 @@
 //! The listener: accepts client connections within the descriptor budget, and starts a task for
 //! each.
 use crate::control::driver::DriverHandle;
+use crate::control::request_claims::RequestClaims;
 use crate::inbound::client_connection::ClientConnection;
 use crate::inbound::connection_task::serve_connection;
 use crate::inbound::context::ServerContext;
@@ -51,6 +52,8 @@
     pub memory: MemoryBudget,
     /// Counts requests and connections.
     pub metrics: Rc<Metrics>,
+    /// Claims requests while another process serves; `None` if there is never one.
+    pub claims: Option<Rc<dyn RequestClaims>>,
     /// Checks that requests get a response.
     pub guard: Guard,
     /// The phase of the process.
@@ -74,6 +77,7 @@
                 descriptors: options.descriptors,
                 memory: options.memory,
                 metrics: options.metrics,
+                claims: options.claims,
                 guard: options.guard,
                 phase: options.phase,
                 idle_connections: Rc::default(),
--- a/balancer/src/invariants.rs
+++ b/balancer/src/invariants.rs
@@ -88,10 +88,15 @@
         }
     }
 
+    /// Whether the request must not run twice in any case.
+    pub fn is_unrepeatable(&self) -> bool {
+        self.idempotency == Idempotency::NonIdempotent
+    }
+
     /// Whether the request may be rejected: for a request that is not idempotent, a rejection promises that it has not
     /// run.
     pub fn may_reject(&self) -> bool {
-        self.idempotency != Idempotency::NonIdempotent || self.first_run_at.is_none()
+        !self.is_unrepeatable() || self.first_run_at.is_none()
     }
 }
 
--- a/balancer/src/net/descriptor_budget.rs
+++ b/balancer/src/net/descriptor_budget.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors reserved for all other uses: the listener, discovery, the runtime, and sockets that
 /// are closing.
@@ -34,6 +34,8 @@
     /// Whether another process of this balancer has half of the limits. Its permits may still be
     /// awaited.
     is_shared: Rc<Cell<bool>>,
+    /// Wakes those who wait to yield permits when the limits are not shared any more.
+    sharing_ended: Rc<Notify>,
 }
 
 /// A client connection's share of the budget; released when dropped.
@@ -58,13 +60,35 @@
             max_clients,
             yielded: Rc::default(),
             is_shared: Rc::default(),
+            sharing_ended: Rc::new(Notify::new()),
         }
     }
 
+    /// Another process of this balancer has half of the limits from now on.
+    pub fn begin_sharing(&self) {
+        self.is_shared.set(true);
+    }
+
     /// Yields half of the budget to another process of this balancer: free permits at once, the
     /// others when they are released.
     pub async fn yield_half(&self) {
-        self.is_shared.set(true);
+        self.begin_sharing();
+        self.yield_half_while_shared().await;
+    }
+
+    /// Yields half of the budget, unless the limits are not shared any more.
+    pub async fn yield_half_while_shared(&self) {
+        if !self.is_shared() {
+            return;
+        }
+        tokio::select! {
+            biased;
+            () = self.sharing_ended.notified() => {}
+            half = self.acquire_half() => self.yielded.borrow_mut().extend(half),
+        }
+    }
+
+    async fn acquire_half(&self) -> impl Iterator<Item = OwnedSemaphorePermit> {
         let clients = self
             .clients
             .clone()
@@ -76,14 +100,13 @@
             .acquire_many_owned(self.max_connections / 2)
             .await;
         // Acquiring fails only on a closed semaphore, and these are never closed.
-        self.yielded
-            .borrow_mut()
-            .extend([clients, connections].into_iter().flatten());
+        [clients, connections].into_iter().flatten()
     }
 
     /// Takes back the yielded half, after the other process has ended.
     pub fn reclaim(&self) {
         self.is_shared.set(false);
+        self.sharing_ended.notify_waiters();
         self.yielded.borrow_mut().clear();
     }
 
--- a/balancer/src/net/descriptor_budget/tests.rs
+++ b/balancer/src/net/descriptor_budget/tests.rs
@@ -36,3 +36,22 @@
     yielding.await;
     assert!(budget.try_acquire_client().is_none());
 }
+
+/// Guards against a process that waits for its clients forever, because permits that they release are
+/// yielded to its successor.
+#[tokio::test]
+async fn clients_are_closed_although_half_of_the_budget_is_still_to_be_yielded() {
+    let budget = DescriptorBudget::new(RESERVED_DESCRIPTORS + 40);
+    let clients = acquire_all_clients(&budget);
+    let _upstream = budget.try_acquire_connection();
+    let yielding = budget.yield_half();
+    let closing = async {
+        budget.reclaim();
+        drop(clients);
+        budget.wait_until_clients_closed().await;
+    };
+    let both = async { tokio::join!(yielding, closing) };
+    tokio::time::timeout(std::time::Duration::from_secs(1), both)
+        .await
+        .expect("all clients are closed");
+}
--- a/balancer/src/process/program.rs
+++ b/balancer/src/process/program.rs
@@ -1,10 +1,12 @@
 //! The balancer as a process: starts its parts, connects them and shuts them down.
+use crate::admin::claim_store::ClaimStore;
 use crate::admin::override_store::OverrideStore;
 use crate::admin::override_sync::OverrideSync;
 use crate::admin::process_coordinator::{
     ProcessCoordinator, POLLED_LIST_TIMEOUT, PUSHED_LIST_TIMEOUT,
 };
 use crate::admin::server::{self, AdminOptions, AdminServer};
+use crate::admin::shared_claims::SharedClaims;
 use crate::clock::{from_millis, Clock};
 use crate::control::control_plane::{ControlPlane, ControlPlaneOptions};
 use crate::control::driver::DriverHandle;
@@ -164,9 +166,8 @@
                 () = shutdown.received() => return Ok(None),
             }
         }
-        // Only processes with a coordinator hand over to each other, so only they listen at the same address.
-        let shares_address = coordinator.is_some();
-        let (server, address) = start_server(&config, shares_address, &driver, &context).await?;
+        let (server, address) =
+            start_server(&config, coordinator.as_deref(), &driver, &context).await?;
         match &coordinator {
             Some(coordinator) => coordinator.serve().await,
             None => drop(context.phase.send_replace(Phase::Serving)),
@@ -291,11 +292,16 @@
         slow_start_duration: config.deployment.core.slow_start_duration,
     });
     tokio::task::spawn_local(admin.run(listener));
+    let claims = SharedClaims::new(
+        ClaimStore::new(override_directory()),
+        context.descriptors.clone(),
+    );
     let coordinator = ProcessCoordinator::new(
         driver.clone(),
         context.descriptors.clone(),
         context.phase.clone(),
         overrides,
+        claims,
         endpoint_list_timeout(&config.deployment),
     );
     Ok(Some(coordinator))
@@ -319,10 +325,12 @@
 /// Listens for clients and starts the server. Returns its task and its address.
 async fn start_server(
     config: &Config,
-    shares_address: bool,
+    coordinator: Option<&ProcessCoordinator>,
     driver: &DriverHandle,
     context: &ProcessContext,
 ) -> Result<(JoinHandle<()>, SocketAddr), ProgramError> {
+    // Only processes with a coordinator hand over to each other, so only they listen at the same address.
+    let shares_address = coordinator.is_some();
     let address = config.listen_address;
     let failed = |source: io::Error| ProgramError::Listen { address, source };
     let listener = retry_io(STARTUP_RETRY_LIMIT, || {
@@ -336,6 +344,7 @@
         deployment: config.deployment.clone(),
         descriptors: context.descriptors.clone(),
         memory: context.memory.clone(),
+        claims: coordinator.map(ProcessCoordinator::claims),
         metrics: context.metrics.clone(),
         guard: context.guard.clone(),
         phase: context.phase.subscribe(),
--- a/balancer/tests/departed_clients.rs
+++ b/balancer/tests/departed_clients.rs
@@ -23,6 +23,8 @@
 const LONG_SERVICE_TIME: Duration = Duration::from_millis(500);
 /// Pause before a request comes again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// How often a request comes again, or how many requests do.
+const REPEATS: usize = 16;
 
 /// The requests that an upstream has received: their ids, and when they were complete.
 type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
@@ -106,20 +108,56 @@
     }
 }
 
-/// The same at the other process of an upgrade.
+/// The same at the other process of an upgrade: the request is in flight when that process begins to
+/// serve, and comes again there at once.
 #[test]
 fn request_that_may_have_run_does_not_run_again_at_the_other_process_of_an_upgrade() {
+    for terminates in [false, true] {
+        let (upstream, arrivals) = start_recording_upstream(LONG_SERVICE_TIME);
+        let folder = state_folder("departed-upgrade");
+        let old = BalancerProcess::in_state_folder(&folder, None, &[upstream]);
+        let request = payment_request("once", "5000m");
+        let first = old.client_that_sent(&request);
+        sleep(REPEAT_PAUSE);
+        let new = BalancerProcess::in_state_folder(&folder, Some(&old), &[upstream]);
+        if terminates {
+            old.terminate();
+        }
+        drop(first);
+        // The system deals connections out among the processes that listen.
+        let repeated: Vec<_> = (0..REPEATS)
+            .map(|_| new.client().call(&request).status())
+            .collect();
+        sleep(LONG_SERVICE_TIME);
+        assert_eq!(count_runs(&arrivals, "once"), 1, "{repeated:?}");
+    }
+}
+
+/// The same in both directions, and after the old process has ended.
+#[test]
+fn no_request_runs_at_both_processes_of_an_upgrade() {
     let (upstream, arrivals) = start_recording_upstream(LONG_SERVICE_TIME);
-    let folder = state_folder("departed-upgrade");
-    let old = BalancerProcess::in_state_folder(&folder, None, &[upstream]);
-    let request = payment_request("once", "5000m");
-    let first = old.client_that_sent(&request);
-    sleep(REPEAT_PAUSE);
+    let folder = state_folder("departed-both");
+    let mut old = BalancerProcess::in_state_folder(&folder, None, &[upstream]);
     let new = BalancerProcess::in_state_folder(&folder, Some(&old), &[upstream]);
-    old.terminate();
-    drop(first);
+    let request = |number: usize| payment_request(&format!("plan-{number}"), "5000m");
+    let first: Vec<_> = (0..REPEATS)
+        .map(|number| new.client_that_sent(&request(number)))
+        .collect();
     sleep(REPEAT_PAUSE * 2);
-    let repeated = new.client().call(&request);
-    sleep(LONG_SERVICE_TIME);
-    assert_eq!(count_runs(&arrivals, "once"), 1, "{}", repeated.status());
+    drop(first);
+    let repeat_all = || {
+        for number in 0..REPEATS {
+            assert_eq!(new.client().call(&request(number)).status(), 409);
+        }
+    };
+    repeat_all();
+    old.terminate();
+    assert!(old.wait_for_exit_in_time().success());
+    repeat_all();
+    sleep(REPEAT_PAUSE * 3);
+    repeat_all();
+    for number in 0..REPEATS {
+        assert_eq!(count_runs(&arrivals, &format!("plan-{number}")), 1);
+    }
 }
