--- a/balancer/tests/common/crowd.rs
+++ b/balancer/tests/common/crowd.rs
@@ -227,7 +227,7 @@
 
 /// A client whose system buffers little of what it does not read; `None` if the balancer does not
 /// accept it in time.
-fn connect_slow_reader(address: SocketAddr) -> Option<TcpStream> {
+pub fn connect_slow_reader(address: SocketAddr) -> Option<TcpStream> {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
     socket.set_recv_buffer_size(4096).ok()?;
     socket
--- a/balancer/tests/memory_crowds.rs
+++ b/balancer/tests/memory_crowds.rs
@@ -162,6 +162,29 @@
     assert!(crowd.join().is_ok());
 }
 
+/// Guards against rejecting all requests because many connections are open.
+#[test]
+fn serves_requests_with_bodies_however_many_clients_are_idle() {
+    let limits = TIGHTEST_LIMITS;
+    let upstream = StubUpstream::start(|_| ok_response("ok"));
+    let (config, discovery) = configure(limits, upstream.address);
+    let balancer = BalancerProcess::run(balancer_command(&config), discovery);
+    let idle: Vec<_> = (0..limits.sockets)
+        .map_while(|_| connect_slow_reader(balancer.address))
+        .collect();
+    assert!(
+        idle.len() > limits.sockets / 2,
+        "few clients: {}",
+        idle.len()
+    );
+    let body = "b".repeat(60_000);
+    for number in 0..20 {
+        let framing = format!("Content-Length: {}", body.len());
+        let request = upload_head(&format!("beside-idle-{number}"), &framing) + &body;
+        assert_eq!(balancer.client().call(&request).status(), 200);
+    }
+}
+
 /// Guards against a final response that comes seconds late, because a large request waits for memory
 /// that others hold, or for its upstream, which reads nothing.
 #[test]
