Close idle connections for their memory only if they may be closed

The soak records that its crowds use up the descriptors, as idle ones do (two crowds or one beside an upgrade fill them, and a new connection may then be closed unread). The pause between two returns of free memory grows with the time that one takes.

--- a/balancer/src/inbound/idle_connections.rs
+++ b/balancer/src/inbound/idle_connections.rs
@@ -16,6 +16,10 @@
 /// their grace period.
 const USED_CONNECTION_EVICTION_AGE: Duration = Duration::from_secs(2);
 
+/// A connection that has carried no request yet may be closed after this long, whatever else is
+/// connected.
+const NEW_CONNECTION_IDLE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Whether a connection has carried a request. New connections sort first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectionKind {
@@ -75,13 +79,24 @@
         self.connections.borrow_mut().remove(&key);
     }
 
-    /// Evicts an idle connection, if one may be evicted. Returns whether it did.
+    /// Evicts an idle connection, if one may be evicted for a new one. Returns whether it did.
     pub fn evict_idle_connection(&self) -> bool {
         let new = self.group(ConnectionKind::New);
         let used = self.group(ConnectionKind::Used);
-        let Some(kind) = select_eviction_candidate(new, used) else {
-            return false;
-        };
+        select_eviction_candidate(new, used).is_some_and(|kind| self.evict_oldest(kind))
+    }
+
+    /// Evicts an idle connection, if one may be evicted for its memory: one that has carried no request
+    /// for so long that it may be closed, or one that has. Returns whether it did.
+    pub fn evict_for_memory(&self) -> bool {
+        let new_age = self.group(ConnectionKind::New).oldest_age;
+        if new_age.is_some_and(|age| age >= NEW_CONNECTION_IDLE_LIMIT) {
+            return self.evict_oldest(ConnectionKind::New);
+        }
+        self.evict_oldest(ConnectionKind::Used)
+    }
+
+    fn evict_oldest(&self, kind: ConnectionKind) -> bool {
         let Some(key) = self.oldest(kind) else {
             return false;
         };
--- a/balancer/src/inbound/idle_connections/tests.rs
+++ b/balancer/src/inbound/idle_connections/tests.rs
@@ -30,3 +30,24 @@
         assert_eq!(kind, expected, "{new_age:?} {used_age:?} {more_used}");
     }
 }
+
+/// Guards against closing a connection for its memory whose first request is on its way.
+#[tokio::test(start_paused = true)]
+async fn new_connections_are_not_evicted_for_memory_before_they_may_be_closed() {
+    let connections = IdleConnections::default();
+    let [new, used] = [ConnectionKind::New, ConnectionKind::Used].map(|kind| {
+        let evict = Rc::new(Notify::new());
+        connections.mark_idle(kind, &evict);
+        evict
+    });
+    let is_evicted = async |evict: &Notify| {
+        let at_once = tokio::time::timeout(Duration::ZERO, evict.notified());
+        at_once.await.is_ok()
+    };
+    assert!(connections.evict_for_memory());
+    assert!(is_evicted(&used).await && !is_evicted(&new).await);
+    assert!(!connections.evict_for_memory());
+    tokio::time::advance(NEW_CONNECTION_IDLE_LIMIT).await;
+    assert!(connections.evict_for_memory());
+    assert!(is_evicted(&new).await);
+}
--- a/balancer/src/inbound/server.rs
+++ b/balancer/src/inbound/server.rs
@@ -260,7 +260,7 @@
             if has_room() {
                 break;
             }
-            context.idle_connections.evict_idle_connection();
+            context.idle_connections.evict_for_memory();
             context.driver.close_oldest_idle_connection();
         }
         sleep(EVICTION_INTERVAL).await;
--- a/balancer/src/memory/budget.rs
+++ b/balancer/src/memory/budget.rs
@@ -27,8 +27,11 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Those who wait check by themselves in this interval, if nobody wakes them.
 const WAITER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two returns of free memory to the system.
-const RETURN_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval between two returns of free memory to the system.
+const MIN_RETURN_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval is at least so many times as long as the last return took, which grows with the
+/// memory.
+const RETURN_INTERVAL_FACTOR: u32 = 10;
 /// A shortage ends once nothing was refused for this long.
 const SHORTAGE_END_DELAY: Duration = Duration::from_secs(1);
 
@@ -226,16 +229,19 @@
     /// While much memory is in use, wakes those who wait for some and returns free memory to the
     /// system. Ends shortages. Never returns.
     pub async fn run(self) {
+        let mut interval = MIN_RETURN_INTERVAL;
         loop {
             if !self.is_short() {
                 self.shared.half_used.notified().await;
             }
-            let return_at = Instant::now() + RETURN_INTERVAL;
+            let return_at = Instant::now() + interval;
             while Instant::now() < return_at {
                 sleep(ROOM_CHECK_INTERVAL).await;
                 self.shared.room_check.notify_waiters();
             }
+            let started_at = Instant::now();
             allocation::return_free_memory();
+            interval = MIN_RETURN_INTERVAL.max(started_at.elapsed() * RETURN_INTERVAL_FACTOR);
             if self.is_short() && self.is_shortage_over() {
                 self.shared.is_short.send_replace(false);
                 self.log_shortage("memory is no longer short");
--- a/soak/src/injector/crowds.rs
+++ b/soak/src/injector/crowds.rs
@@ -33,7 +33,8 @@
     pub(super) async fn crowd_with_slow_clients(&mut self) {
         let balancer = self.draw_balancer();
         let address = self.testbed.clients(balancer).address();
-        let ends_at = self.ends_at();
+        let started_at = Instant::now();
+        let ends_at = started_at + self.duration;
         let mut clients = Vec::new();
         while Instant::now() < ends_at {
             while clients.len() < CLIENTS {
@@ -49,6 +50,11 @@
             self.check_memory(balancer);
             sleep(ROUND_PAUSE).await;
         }
+        // Several crowds, or one beside an upgrade, use up the descriptors.
+        self.testbed
+            .recorder()
+            .lock()
+            .record_descriptor_exhaustion(balancer, started_at);
     }
 
     /// A request without its end: a head of many fields, or a body. Nothing of it may be forwarded.
