Let tests listen at an address that refused connections

Cause: since refusing_address holds its port with a socket, and this test starts discovery there later.

--- a/balancer/tests/common/listeners.rs
+++ b/balancer/tests/common/listeners.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 /// An address that refuses connections. A socket that does not listen keeps it until the test program
-/// ends, so that no listener of another test gets it.
+/// ends, so that the system gives it to no other listener. One that asks for it can listen there.
 pub fn refusing_address() -> SocketAddr {
     let socket = tcp_socket();
+    socket.set_reuse_address(true).expect("sets SO_REUSEADDR");
     socket
         .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
         .expect("binds");
